--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -224,14 +224,14 @@
             Line::UnderWay { op_id, round_no, .. } => {
                 Event::Begun { id: RequestId(op_id), attempt: round_no }
             }
-            Line::Done { op_id, round_no, outcome, lag, ended, usage, .. } => Event::Done {
+            Line::Done { op_id, round_no, outcome, lag, ended, usage, .. } => Event::Done(Done {
                 id: RequestId(op_id),
                 attempt: round_no,
                 outcome: outcome.outcome(),
                 lag: micros(lag),
                 over: ended,
                 load: usage.unwrap_or_default(),
-            },
+            }),
             Line::Aborted { op_id, .. } => Event::Gone(RequestId(op_id)),
             Line::Ring { cookie, .. } => Event::Timer(cookie),
             Line::HealthResult { machine, lag, outcome, usage, .. } => Event::Probed {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,73 +11,44 @@
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000 * MS;
 
-// The record of a build (DESIGN).
-/// Outcomes of a class that a verdict looks at: older ones say what was, not what is.
-const RECENT: usize = 20;
-/// Below this many outcomes a class is unjudged: a verdict on less is chance.
-const JUDGED_FROM: usize = 10;
-/// By how much a share of failures must exceed the earlier build's.
-const MARGIN: f64 = 0.1;
-/// How long a class must stay failed before the build is voted back; also the soak after a start.
-const SUSTAINED: Micros = 3 * SECOND;
-/// Renewal of a standing verdict, unless its life asks for an earlier one.
-const RENEW: Micros = 4 * SECOND;
-/// Outcomes kept a class for the earlier build's share and for the comparison of times.
-const KEPT: usize = 60;
-/// Outcomes left of the machines but the worst that still make evidence.
-const OTHERS_FROM: usize = 5;
-/// The earlier build counts as alive for this long after an outcome; times need it alive.
-const ALIVE: Micros = 4 * SECOND;
-/// How much slower (natural logarithm) a build must surely be to fail by its times: 1.35 times.
-const SLOWER: f64 = 0.3;
-/// Standard errors taken off a difference of times before it counts.
-const SURELY: f64 = 2.5;
-/// Lone evidence must stay failed this many times as long: the machine may be at fault.
-const LONE: u64 = 3;
+// The record of a build (docs/design.md).
+const RECENT: usize = 20; // outcomes a class is judged by: older ones say what was, not what is
+const JUDGED_FROM: usize = 10; // outcomes below which a class is unjudged: a verdict on less is chance
+const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's
+const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
+const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
+const KEPT: usize = 60; // outcomes kept a class, for the earlier build's share and for breadth
+const ALIVE: Micros = 4 * SECOND; // the earlier build can be compared with for so long after an outcome
+const SLOWER: f64 = 0.3; // logarithm by which a build must surely be slower to fail by its times: 1.35
+const SURELY: f64 = 2.5; // standard errors taken off a difference of times before it counts
+const LONE: u64 = 3; // evidence of one machine alone must stay failed this many times as long
 
 // Votes.
-/// First wait before a vote that did not count is cast again, doubled each time up to `VOTE_PATIENCE`.
-const VOTE_AGAIN: Micros = 250 * MS;
-/// Longest such wait.
-const VOTE_PATIENCE: Micros = 2 * SECOND;
+const VOTE_AGAIN: Micros = 250 * MS; // first wait after a vote that did not count, doubled each time ...
+const VOTE_PATIENCE: Micros = 2 * SECOND; // ... up to this: all instances share the platform's rate
 
 // Machines.
-/// Weight of the newest outcome in a machine's pace and fault share.
-const NEWEST: f64 = 0.15;
-/// A machine's pace is forgotten by half in this time, so that a slow one is tried again.
-const FORGET: f64 = 5.0e6;
-/// Fault share above which a machine is ejected.
-const EJECT_ABOVE: f64 = 0.5;
-/// Outcomes needed before that.
-const EJECT_FROM: u32 = 5;
-/// First ejection, doubled with each in a row up to `EJECT_MOST`.
-const EJECT_FIRST: Micros = SECOND;
-/// Longest ejection.
-const EJECT_MOST: Micros = 8 * SECOND;
-/// A failed attempt counts as this much slower (natural logarithm), so that quick errors draw no traffic.
-const FAULT_PACE: f64 = 1.1;
-/// How much heavier a machine across zones counts where crossing has a price.
-const CROSSING: f64 = 1.5;
-/// Part of a cold machine's budget that the fronts use together: hints are rough, bursts chance.
-const COLD_USE: f64 = 0.6;
+const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and fault share
+const FORGET: f64 = 5.0e6; // a pace is forgotten by half in this span, so that a slow machine is tried again
+const EJECT_ABOVE: f64 = 0.5; // fault share above which a machine is ejected ...
+const EJECT_FROM: u32 = 5; // ... once it has so many outcomes
+const EJECT_FIRST: Micros = SECOND; // first ejection, doubled with each in a row ...
+const EJECT_MOST: Micros = 8 * SECOND; // ... up to this
+const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
+const CROSSING: f64 = 1.5; // how much heavier a machine in another zone counts where crossing has a price
+const COLD_USE: f64 = 0.6; // part of a cold machine's budget that is used: hints are rough, bursts chance
 
 // Requests.
-/// Retries earned by a request, and the most that can be saved up.
-const RETRY_EARNED: f64 = 0.1;
-/// Most retries saved up.
-const RETRY_SAVED: f64 = 10.0;
-/// Share of late outcomes above which the limit on open requests falls, and under which it rises.
-const LATE_HIGH: f64 = 0.15;
-/// See `LATE_HIGH`.
-const LATE_LOW: f64 = 0.08;
-/// Part of the limit that the class of least worth may use; the rest is kept for the dearer ones.
-const CHEAP_ROOM: f64 = 0.7;
-/// Housekeeping period: votes, held requests and the limit.
-const TICK: Micros = 25 * MS;
-/// Shortest gap between log lines of one kind.
-const LOG_GAP: Micros = 5 * SECOND;
+const RETRY_EARNED: f64 = 0.1; // retries earned by a request: a retry storm stays a tenth of the traffic
+const RETRY_SAVED: f64 = 10.0; // most retries saved up
+const FULL_TIME: f64 = 0.45; // mean time over aim above which fewer requests are let in: queues build up
+const FREE_TIME: f64 = 0.4; // and below which more are
+const CHEAP_ROOM: f64 = 0.7; // part of the limit open to requests worth nothing; the dearest use all
+const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
+const LOG_GAP: Micros = 5 * SECOND; // shortest gap between log lines of one kind
 
 /// Attempts or requests of the last span, counted by class.
+#[derive(Default)]
 struct Window {
     span: Micros,
     log: VecDeque<(Micros, ClassId)>,
@@ -86,7 +57,7 @@
 
 impl Window {
     fn new(span: Micros, classes: usize) -> Self {
-        Window { span, log: VecDeque::new(), counts: vec![0; classes] }
+        Window { span, counts: vec![0; classes], ..Self::default() }
     }
 
     fn add(&mut self, now: Micros, class: ClassId) {
@@ -96,9 +67,7 @@
 
     /// What is left of the span that ends now; of one class, or of all.
     fn count(&mut self, now: Micros, class: Option<ClassId>) -> f64 {
-        while let Some(&(at, class)) = self.log.front().filter(|(at, _)| at + self.span < now) {
-            debug_assert!(at <= now);
-            self.log.pop_front();
+        while let Some((_, class)) = self.log.pop_front_if(|(at, _)| *at + self.span < now) {
             self.counts[class.0] -= 1;
         }
         class.map_or(self.log.len() as f64, |c| f64::from(self.counts[c.0]))
@@ -110,56 +79,50 @@
     }
 }
 
+#[derive(Default)]
 struct Machine {
     entry: Entry,
     listed: bool,
     open: u32,
-    /// Smoothed logarithm of how much slower than usual its answers are.
-    pace: f64,
+    pace: f64, // smoothed logarithm of how much slower than usual its answers are, as of `paced_at`
     paced_at: Micros,
     faults: f64,
     outcomes: u32,
     ejected_until: Micros,
     ejection: Micros,
-    /// Work sent to it within the fall window, while it may be cold.
-    cold_work: VecDeque<(Micros, f64)>,
+    cold_work: VecDeque<(Micros, f64)>, // sent to it within the fall window, while it may be cold
 }
 
 #[derive(Clone, Copy)]
 struct Seen {
     at: Micros,
     failed: bool,
-    /// A time-out: blames the build only beside a living earlier one.
-    timed_out: bool,
-    /// Logarithm of how much slower than the usual for its class and kind; none where not comparable.
-    slower: Option<f64>,
+    timed_out: bool,     // blames the build only beside a living earlier one
+    slower: Option<f64>, // logarithm over the usual of its class and kind, where comparable
     machine: MachineId,
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
 enum Mark {
     Unjudged,
     Pass,
     Fail { lone: bool },
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(PartialEq)]
 enum State {
     Soaking,
-    /// Sustained failure: voted back until the platform says that it goes.
-    Failed,
+    Failed, // sustained: voted back until the platform says that it goes
 }
 
 /// What this instance knows of one build (RFC-0005's record, one per build on trial).
 struct Record {
     state: State,
     born: Micros,
-    /// Latest outcomes by class.
+    last_seen: Micros,
     seen: Vec<VecDeque<Seen>>,
-    /// A mark a class, and one more for the build's times.
-    marks: Vec<Mark>,
+    marks: Vec<Mark>, // one a class, and one more for the build's times
     failing_since: Vec<Option<Micros>>,
-    last_seen: Micros,
     attempts: Window,
 }
 
@@ -189,9 +152,12 @@
 }
 
 /// The decisions of one instance: a state machine over events and the clock that comes with them.
+#[derive(Default)]
 pub struct Brain {
     config: Config,
     rng: Rng,
+    now: Micros,
+    out: Vec<Action>,
     started: bool,
     machines: BTreeMap<MachineId, Machine>,
     asked: Micros,
@@ -211,10 +177,8 @@
     retries: f64,
     open: u32,
     limit: f64,
-    late: f64,
-    limited_at: Micros,
-    /// Usual logarithm of time over hinted work, by class, and by class and kind.
-    usual: BTreeMap<(ClassId, Option<KindId>), (f64, u32)>,
+    time_used: f64, // smoothed time over aim of all outcomes
+    usual: BTreeMap<(ClassId, Option<KindId>), (f64, u32)>, // logarithm of time over hint, and how many
     tenant_rate: Vec<f64>,
     logged: BTreeMap<&'static str, Micros>,
 }
@@ -222,74 +186,60 @@
 impl Brain {
     /// A new instance that knows nothing but its settings.
     pub fn new(seed: u64, config: Config) -> Self {
-        let classes = config.classes.len();
         Brain {
             rng: Rng::with_seed(seed),
-            started: false,
-            machines: BTreeMap::new(),
-            asked: 0,
-            ask_again: None,
             ask_wait: SECOND,
-            news: None,
-            recount_at: None,
-            records: BTreeMap::new(),
             // A tick short, as attempts are counted a tick long: rounding never favours us.
-            requests: Window::new(config.rollout.window.saturating_sub(config.resolution), classes),
-            answered_keys: BTreeMap::new(),
-            standing: None,
-            pending: None,
-            vote_not_before: 0,
+            requests: Window::new(
+                config.rollout.window.saturating_sub(config.resolution),
+                config.classes.len(),
+            ),
             vote_wait: VOTE_AGAIN,
-            held: BTreeMap::new(),
-            waiting: VecDeque::new(),
             retries: RETRY_SAVED,
-            open: 0,
             limit: f64::INFINITY,
-            late: 0.0,
-            limited_at: 0,
-            usual: BTreeMap::new(),
             tenant_rate: vec![0.0; config.tenants.len()],
-            logged: BTreeMap::new(),
             config,
+            ..Self::default()
         }
     }
 
     /// Takes one event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
         if !self.started {
             self.started = true;
-            out.push(Action::SetTimer { after: TICK, token: 0 });
+            self.out.push(Action::SetTimer { after: TICK, token: 0 });
             if self.config.ask_for_fleet {
-                self.ask(now, out);
+                self.ask();
             }
         }
         match event {
-            Event::Fleet(news) => self.fleet(now, news),
-            Event::Request(request) => self.request(now, request, out),
-            Event::Begun { id, attempt } => self.begun(now, id, attempt),
-            Event::Done { id, attempt, outcome, lag, over, .. } => {
-                self.done(now, id, attempt, outcome, lag, over, out);
-            }
-            Event::Gone(id) => self.gone(id, out),
-            Event::Timer(_) => {
-                out.push(Action::SetTimer { after: TICK, token: 0 });
-                self.housekeeping(now, out);
+            Event::Fleet(news) => self.fleet(news),
+            Event::Request(request) => self.request(request),
+            Event::Begun { id, .. } => {
+                if let Some(held) = self.held.get_mut(&id) {
+                    held.begun = true;
+                }
             }
-            Event::Stage(stage) => self.stage(now, stage, out),
-            Event::Voted(ballot, stage) => self.voted(now, ballot, stage, out),
-            Event::Flagged { machine, class, age } => self.flagged(now, machine, class, age),
+            Event::Done(done) => self.done(&done),
+            Event::Gone(id) => self.end(id),
+            Event::Timer(_) => self.housekeeping(),
+            Event::Stage(stage) => self.stage(stage),
+            Event::Voted(ballot, stage) => self.voted(ballot, stage),
+            Event::Flagged { machine, class, age } => self.flagged(machine, class, age),
             Event::Tally { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
+        out.append(&mut self.out);
     }
 
     // ---- Fleet and health view ----
 
-    fn fleet(&mut self, now: Micros, news: Fleet) {
+    fn fleet(&mut self, news: Fleet) {
         let entries = match news {
             Fleet::Unreachable => {
                 // The registry serves all instances: ask again, later each time, never in step.
                 let wait = self.ask_wait / 2 + self.rng.u64(0..self.ask_wait);
-                self.ask_again = Some(now + wait);
+                self.ask_again = Some(self.now + wait);
                 self.ask_wait = (self.ask_wait * 2).min(4 * SECOND);
                 return;
             }
@@ -301,29 +251,28 @@
         };
         self.ask_wait = SECOND;
         for entry in entries {
-            let listed = entry.presence == Presence::On;
-            self.record(now, entry.build);
-            let machine = self.machines.entry(entry.machine).or_insert_with(|| Machine::new(entry.clone()));
+            self.record(entry.build);
+            let fresh = || Machine { entry, ejection: EJECT_FIRST, ..Machine::default() };
+            let machine = self.machines.entry(entry.machine).or_insert_with(fresh);
             if machine.entry.started != entry.started || machine.entry.build != entry.build {
                 // Another process: what was known of the earlier one is void, what is in flight is not.
-                *machine = Machine { open: machine.open, ..Machine::new(entry.clone()) };
+                *machine = Machine { open: machine.open, ..fresh() };
             }
             machine.entry = entry;
-            machine.listed = listed;
+            machine.listed = entry.presence == Presence::On;
         }
         self.machines.retain(|_, m| m.listed || m.open > 0);
     }
 
-    fn ask(&mut self, now: Micros, out: &mut Vec<Action>) {
-        self.asked = now;
+    fn ask(&mut self) {
+        self.asked = self.now;
         self.ask_again = None;
-        out.push(Action::Subscribe(true));
+        self.out.push(Action::Subscribe(true));
     }
 
     /// How much of its capacity a machine surely has; none: long warm.
-    fn warmth(&self, now: Micros, entry: &Entry) -> Option<f64> {
-        let age = now.saturating_sub(entry.started?);
-        let risen = age as f64 / self.config.warm_after.max(1) as f64;
+    fn warmth(&self, entry: &Entry) -> Option<f64> {
+        let risen = self.now.saturating_sub(entry.started?) as f64 / self.config.warm_after.max(1) as f64;
         (risen < 1.0).then(|| self.config.cold_from + (1.0 - self.config.cold_from) * risen)
     }
 
@@ -334,17 +283,11 @@
     }
 
     /// Notes what an attempt tells of its machine: its pace, its faults, and whether to eject it.
-    fn machine_outcome(
-        &mut self,
-        now: Micros,
-        m: MachineId,
-        outcome: Outcome,
-        slower: f64,
-        out: &mut Vec<Action>,
-    ) {
-        let trial = self.machines.get(&m).is_some_and(|m| self.on_trial(m.entry.build));
-        let Some(machine) = self.machines.get_mut(&m) else { return };
-        let fault = !matches!(outcome, Outcome::Served);
+    fn machine_outcome(&mut self, id: MachineId, outcome: Outcome, slower: f64) {
+        let now = self.now;
+        let trial = self.machines.get(&id).is_some_and(|m| self.on_trial(m.entry.build));
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        let fault = outcome != Outcome::Served;
         let sample = if fault { slower.max(FAULT_PACE) } else { slower };
         machine.pace = machine.paced(now) * (1.0 - NEWEST) + sample * NEWEST;
         machine.paced_at = now;
@@ -354,16 +297,14 @@
         // once it fails most; not one of a build on trial, whose failures are the judge's evidence.
         let dead = matches!(outcome, Outcome::Unreached | Outcome::Broken);
         let failing = machine.faults > EJECT_ABOVE && machine.outcomes >= EJECT_FROM && !trial;
-        if !fault && now > machine.ejected_until {
+        if !fault {
             machine.ejection = EJECT_FIRST;
-        }
-        if (dead || failing) && now >= machine.ejected_until {
-            machine.ejected_until = now + machine.ejection;
-            machine.ejection = (machine.ejection * 2).min(EJECT_MOST);
-            // One more failure after the way back is enough to leave again, one success is not forgotten.
-            machine.faults = EJECT_ABOVE * 0.9;
-            let span = (machine.ejected_until - now) / MS;
-            self.log(now, "eject", out, || format!("ejected machine {} for {span} ms: {outcome:?}", m.0));
+        } else if (dead || failing) && now >= machine.ejected_until {
+            let span = machine.ejection;
+            machine.ejected_until = now + span;
+            machine.ejection = (span * 2).min(EJECT_MOST);
+            machine.faults = EJECT_ABOVE * 0.9; // on the way back one more fault is enough to leave again
+            self.log("eject", || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
         }
     }
 
@@ -377,17 +318,17 @@
         }
     }
 
-    fn record(&mut self, now: Micros, build: Build) -> &mut Record {
-        let (classes, window) =
-            (self.config.classes.len(), self.config.rollout.window + self.config.resolution);
+    fn record(&mut self, build: Build) -> &mut Record {
+        let classes = self.config.classes.len();
+        let (born, span) = (self.now, self.config.rollout.window + self.config.resolution);
         self.records.entry(build).or_insert_with(|| Record {
             state: State::Soaking,
-            born: now,
+            born,
+            last_seen: 0,
             seen: vec![VecDeque::new(); classes],
             marks: vec![Mark::Unjudged; classes + 1],
             failing_since: vec![None; classes + 1],
-            last_seen: 0,
-            attempts: Window::new(window, classes),
+            attempts: Window::new(span, classes),
         })
     }
 
@@ -397,12 +338,12 @@
         known.into_iter().find(|r| r.last_seen > 0 && r.state != State::Failed)
     }
 
-    fn outcome_on_record(&mut self, now: Micros, class: ClassId, build: Build, seen: Seen, sent: Micros) {
-        let record = self.record(now, build);
+    fn put_on_record(&mut self, class: ClassId, build: Build, seen: Seen, sent: Micros) {
+        let record = self.record(build);
         if sent < record.born {
             return;
         }
-        record.last_seen = now;
+        record.last_seen = seen.at;
         record.seen[class.0].push_back(seen);
         if record.seen[class.0].len() > KEPT {
             record.seen[class.0].pop_front();
@@ -410,86 +351,56 @@
     }
 
     /// Marks a class by the share of its failures over the last outcomes, against the earlier build's.
-    /// Danger: one machine with quick errors, slow or crashed fails a good build. So where outcomes of
-    /// several machines are there, those of the worst are left out. Harm: a build bad on one machine alone.
-    fn judge_class(&self, now: Micros, build: Build, class: usize) -> Mark {
-        let Some(record) = self.records.get(&build) else { return Mark::Unjudged };
-        let earlier = self.earlier(build);
-        let alive = earlier.is_some_and(|e| e.last_seen + ALIVE > now);
+    fn judge_class(&self, record: &Record, earlier: Option<&Record>, class: usize) -> Mark {
         // Without a living earlier build, time-outs may as well be a trouble of all machines.
-        let failed = |s: &&Seen| s.failed && (alive || !s.timed_out);
-        let share =
-            |seen: &[&Seen]| seen.iter().filter(|s| failed(s)).count() as f64 / seen.len().max(1) as f64;
-        let before = earlier.map_or(0.0, |e| share(&e.seen[class].iter().collect::<Vec<_>>()));
-        let recent: Vec<&Seen> = record.seen[class].iter().rev().take(RECENT).collect();
-        if recent.len() < JUDGED_FROM {
+        let alive = earlier.is_some_and(|e| e.last_seen + ALIVE > self.now);
+        let failed = |s: &Seen| f64::from(u8::from(s.failed && (alive || !s.timed_out)));
+        let share = |seen: &VecDeque<Seen>, most| {
+            let n = seen.len().clamp(1, most) as f64;
+            seen.iter().rev().take(most).map(failed).sum::<f64>() / n
+        };
+        let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT));
+        if record.seen[class].len() < JUDGED_FROM {
             return Mark::Unjudged;
         }
-        if share(&recent) <= before + MARGIN {
+        if share(&record.seen[class], RECENT) <= before + MARGIN {
             return Mark::Pass;
         }
-        let Some((worst, lone)) = worst_machine(&recent, |s| f64::from(u8::from(failed(&s)))) else {
-            return Mark::Unjudged;
-        };
-        let others: Vec<&Seen> = recent.into_iter().filter(|s| s.machine != worst).collect();
-        match others.len() {
-            _ if lone => Mark::Fail { lone: true },
-            n if n < OTHERS_FROM => record.marks[class],
-            _ if share(&others) > before + MARGIN => Mark::Fail { lone: false },
-            _ => Mark::Pass,
-        }
+        breadth(record.seen[class].iter().map(|s| (s.machine, failed(s))), 0.0)
     }
 
     /// Marks a build's times, all classes together: each outcome as its logarithm over the usual of its
     /// class and kind, cold machines left out, beside the earlier build's of the same moments.
     /// Danger: a build that is only slow passes by its errors until it takes the fleet down.
-    fn judge_times(&self, now: Micros, build: Build) -> Mark {
-        let Some(record) = self.records.get(&build) else { return Mark::Unjudged };
-        let Some(earlier) = self.earlier(build).filter(|e| e.last_seen + ALIVE > now) else {
-            return Mark::Unjudged;
+    fn judge_times(&self, record: &Record, earlier: Option<&Record>) -> Mark {
+        let times = |r: &Record| -> Vec<(MachineId, f64)> {
+            let fresh = r.seen.iter().flatten().filter(|s| s.at + ALIVE > self.now);
+            fresh.filter_map(|s| Some((s.machine, s.slower?))).collect()
         };
-        let fresh = |r: &'_ Record| -> Vec<Seen> {
-            let all = r.seen.iter().flatten().filter(|s| s.at + ALIVE > now && s.slower.is_some());
-            all.copied().collect()
-        };
-        let (new, old) = (fresh(record), fresh(earlier));
+        let (new, old) = (times(record), earlier.map_or(Vec::new(), times));
         if new.len() < JUDGED_FROM || old.len() < JUDGED_FROM {
-            return record.marks[self.config.classes.len()];
+            return Mark::Unjudged;
         }
-        let (old_mean, old_error) = mean_error(old.iter());
-        let surely = |seen: &[&Seen]| {
-            let (mean, error) = mean_error(seen.iter().copied());
-            mean - old_mean - SURELY * error.hypot(old_error) > SLOWER
-        };
-        let all: Vec<&Seen> = new.iter().collect();
-        if !surely(&all) {
+        let ((mean, error), (old_mean, old_error)) = (mean_error(&new), mean_error(&old));
+        if mean - old_mean - SURELY * error.hypot(old_error) <= SLOWER {
             return Mark::Pass;
         }
-        let Some((worst, lone)) = worst_machine(&all, |s| s.slower.unwrap_or(0.0)) else { return Mark::Pass };
-        let others: Vec<&Seen> = all.into_iter().filter(|s| s.machine != worst).collect();
-        match others.len() {
-            _ if lone => Mark::Fail { lone: true },
-            n if n < OTHERS_FROM => record.marks[self.config.classes.len()],
-            _ if surely(&others) => Mark::Fail { lone: false },
-            _ => Mark::Pass,
-        }
+        breadth(new.into_iter(), old_mean + SLOWER)
     }
 
     /// Brings the record of the newest build up to date: marks, failure timers, state.
-    fn judge(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn judge(&mut self) {
         let Some(news) = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else {
             return;
         };
-        let build = news.build;
-        if !self.records.get(&build).is_some_and(|r| r.state == State::Soaking) {
-            return;
-        }
-        let classes = self.config.classes.len();
-        let mut marks: Vec<Mark> = (0..classes).map(|c| self.judge_class(now, build, c)).collect();
-        marks.push(self.judge_times(now, build));
-        // One class failing where another passes at the same machine is the build, not the machine.
-        let passes = marks[..classes].contains(&Mark::Pass);
-        let record = self.record(now, build);
+        let (now, build, classes) = (self.now, news.build, self.config.classes.len());
+        let Some(record) = self.records.get(&build).filter(|r| r.state == State::Soaking) else { return };
+        let earlier = self.earlier(build);
+        let mut marks: Vec<Mark> = (0..classes).map(|c| self.judge_class(record, earlier, c)).collect();
+        // One class failing where another passes is the build, not the machine.
+        let passes = marks.contains(&Mark::Pass);
+        marks.push(self.judge_times(record, earlier));
+        let record = self.record(build);
         let mut sustained = None;
         for (i, mark) in marks.into_iter().enumerate() {
             record.marks[i] = mark;
@@ -506,77 +417,71 @@
         if let Some(i) = sustained {
             record.state = State::Failed;
             let what = self.config.classes.get(i).map_or("times", |c| c.name.as_str()).to_owned();
-            self.log(now, "verdict", out, || {
-                format!("build {}: {what} failed for 3 s, voting back", build.0)
-            });
+            self.log("verdict", || format!("build {}: {what} stayed failed, voting back", build.0));
         }
     }
 
-    fn flagged(&mut self, now: Micros, machine: MachineId, class: ClassId, age: Micros) {
+    fn flagged(&mut self, machine: MachineId, class: ClassId, age: Micros) {
         let Some(build) = self.machines.get(&machine).map(|m| m.entry.build) else { return };
-        let seen = Seen { at: now, failed: true, timed_out: false, slower: None, machine };
-        self.outcome_on_record(now, class, build, seen, now.saturating_sub(age));
+        let seen = Seen { at: self.now, failed: true, timed_out: false, slower: None, machine };
+        self.put_on_record(class, build, seen, self.now.saturating_sub(age));
     }
 
     // ---- Voting ----
 
-    fn stage(&mut self, now: Micros, stage: Stage, out: &mut Vec<Action>) {
+    fn stage(&mut self, stage: Stage) {
         let before = self.news.replace(stage);
-        self.record(now, stage.build);
+        self.record(stage.build);
         let Some(before) = before.filter(|b| b.build == stage.build) else {
             self.recount_at = None;
-            self.log(now, "news", out, || format!("build {} offered, cap {}", stage.build.0, stage.cap));
-            return;
+            return self.log("news", || format!("build {} offered, cap {}", stage.build.0, stage.cap));
         };
         if stage.cap < before.cap {
-            self.recount_at = Some(now + self.config.drain_grace);
+            self.recount_at = Some(self.now + self.config.drain_grace);
         } else if stage.cap > before.cap {
             self.recount_at = None;
         }
         if before.phase != stage.phase {
-            self.log(now, "phase", out, || format!("build {} is now {:?}", stage.build.0, stage.phase));
+            self.log("phase", || format!("build {} is now {:?}", stage.build.0, stage.phase));
         }
     }
 
     /// What this instance would have the platform do, if anything.
-    fn wish(&self, now: Micros) -> Option<Vote> {
+    fn wish(&self) -> Option<Vote> {
         let news = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))?;
         let record = self.records.get(&news.build)?;
         let vote = |verdict| Some(Vote { build: news.build, stage: news.stage, verdict });
+        let timer = self.config.rollout.mode == VoteMode::Timer;
         if record.state == State::Failed {
             return vote(Verdict::Back);
         }
         if news.phase == Phase::Released {
             return None;
         }
-        let failing = record.failing_since.iter().flatten().min();
-        if let Some(since) = failing {
+        if let Some(since) = record.failing_since.iter().flatten().min() {
             // Past the sustained time a failure still open rests on one machine: the clock goes on, so
             // that the next stage brings another machine to tell.
-            let hold = self.config.rollout.mode == VoteMode::Timer && now - since <= SUSTAINED;
-            return if hold { vote(Verdict::Hold) } else { None };
+            return if timer && self.now - since <= SUSTAINED { vote(Verdict::Hold) } else { None };
         }
         let judged = record.marks[..self.config.classes.len()].iter().any(|m| *m != Mark::Unjudged);
-        let latest = self.machines.values().filter(|m| m.listed && m.entry.build == news.build);
-        let latest = latest.filter_map(|m| m.entry.started).max().unwrap_or(record.born);
-        let soaked = now >= latest + SUSTAINED;
-        (judged && soaked && self.config.rollout.mode != VoteMode::Timer).then(|| vote(Verdict::On))?
+        let trial = self.machines.values().filter(|m| m.listed && m.entry.build == news.build);
+        let latest = trial.filter_map(|m| m.entry.started).max().unwrap_or(record.born);
+        if judged && !timer && self.now >= latest + SUSTAINED { vote(Verdict::On) } else { None }
     }
 
-    fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let (wait, life) = (self.config.rollout.vote_wait, self.config.rollout.vote_life);
+    fn vote(&mut self) {
+        let (now, wait, life) = (self.now, self.config.rollout.vote_wait, self.config.rollout.vote_life);
         if let Some((_, at)) = self.pending {
             if now < at + 2 * wait {
                 return;
             }
             self.pending = None;
-            self.unvoted(now);
+            self.vote_later();
         }
-        let margin = wait + 4 * TICK;
-        let renew = RENEW.min(life.saturating_sub(margin).max(life / 2));
+        // The answer to a renewal must arrive while the vote still stands.
+        let renew = RENEW.min(life.saturating_sub(wait + 4 * TICK).max(life / 2));
         let standing = self.standing.filter(|(_, at)| now < at + life);
-        let wish = self.wish(now);
-        let vote = match (wish, standing) {
+        let vote = match (self.wish(), standing) {
             (Some(wish), Some((vote, at))) if wish == vote && now < at + renew => return,
             (Some(wish), _) => wish,
             // A hold that no failure backs any more is taken away, so that it costs no further delay.
@@ -589,32 +494,32 @@
             return;
         }
         self.pending = Some((vote, now));
-        out.push(Action::Vote { build: vote.build, stage: vote.stage, verdict: vote.verdict });
-        if standing.is_none_or(|(before, _)| before.verdict != vote.verdict) {
-            let (build, stage) = (vote.build.0, vote.stage);
-            self.log(now, "vote", out, || format!("vote {:?} on build {build} stage {stage}", vote.verdict));
+        let Vote { build, stage, verdict } = vote;
+        self.out.push(Action::Vote { build, stage, verdict });
+        if standing.is_none_or(|(before, _)| before.verdict != verdict) {
+            self.log("vote", || format!("vote {verdict:?} on build {} stage {stage}", build.0));
         }
     }
 
-    fn unvoted(&mut self, now: Micros) {
-        self.vote_not_before = now + self.vote_wait / 2 + self.rng.u64(0..self.vote_wait);
+    fn vote_later(&mut self) {
+        self.vote_not_before = self.now + self.vote_wait / 2 + self.rng.u64(0..self.vote_wait);
         self.vote_wait = (self.vote_wait * 2).min(VOTE_PATIENCE);
     }
 
-    fn voted(&mut self, now: Micros, ballot: Ballot, stage: Option<Stage>, out: &mut Vec<Action>) {
+    fn voted(&mut self, ballot: Ballot, stage: Option<Stage>) {
         if let Some((vote, at)) = self.pending.take() {
             match ballot {
                 Ballot::Counted => {
                     self.vote_wait = VOTE_AGAIN;
                     self.standing = (vote.verdict != Verdict::None).then_some((vote, at));
                 }
-                // Not repeated before other news: the stage has moved on, or will be told soon.
-                Ballot::Moot => self.vote_not_before = now + VOTE_PATIENCE / 2,
-                _ => self.unvoted(now),
+                // Not repeated at once: the stage has moved on, and news of it is on its way.
+                Ballot::Moot => self.vote_not_before = self.now + VOTE_PATIENCE / 2,
+                _ => self.vote_later(),
             }
         }
         if let Some(stage) = stage {
-            self.stage(now, stage, out);
+            self.stage(stage);
         }
     }
 
@@ -622,10 +527,11 @@
 
     /// Rule 5: attempts at a build on trial stay within the free ones plus the cap times the requests
     /// taken, over the window that ends now; by class where so counted; none at cap 0.
-    fn exposure_allows(&mut self, now: Micros, build: Build, class: ClassId) -> bool {
+    fn exposure_allows(&mut self, build: Build, class: ClassId) -> bool {
         if !self.on_trial(build) {
             return true;
         }
+        let now = self.now;
         if self.recount_at.is_some_and(|at| now >= at) {
             self.recount_at = None;
             self.requests.clear();
@@ -636,40 +542,33 @@
             Some(news) => (news.stage, news.cap),
             None => (0, rollout.caps.first().copied().unwrap_or(0.0)),
         };
-        if cap <= 0.0
-            || (stage < rollout.guarded_stages && self.config.classes[class.0].effect != Effect::Safe)
-        {
+        let safe = self.config.classes[class.0].effect == Effect::Safe;
+        if cap <= 0.0 || (stage < rollout.guarded_stages && !safe) {
             return false;
         }
         let counted = rollout.by_class.then_some(class);
         let allowed = rollout.free + cap * self.requests.count(now, counted);
-        self.record(now, build).attempts.count(now, counted) + 1.0 <= allowed
+        self.record(build).attempts.count(now, counted) + 1.0 <= allowed
     }
 
     /// Rule 4: this front's part of a cold machine's budget, as if all fronts sent alike: the multiple of
     /// what one standard core surely does, over the fall window. Harm: a busy front can't use its
     /// neighbours' parts, so new machines fill slowly there.
-    fn cold_allows(&mut self, now: Micros, m: MachineId, work: f64) -> bool {
-        let Some(warmth) = self.machines.get(&m).and_then(|m| self.warmth(now, &m.entry)) else {
-            return true;
-        };
-        let window = self.config.fall_window;
+    fn cold_allows(&mut self, id: MachineId, work: f64) -> bool {
+        let Some(warmth) = self.machines.get(&id).and_then(|m| self.warmth(&m.entry)) else { return true };
+        let (now, window) = (self.now, self.config.fall_window);
         let whole = self.config.fall_multiple * warmth * window as f64 * COLD_USE;
-        let budget = whole / f64::from(self.config.fronts);
-        let Some(machine) = self.machines.get_mut(&m) else { return false };
-        while machine.cold_work.front().is_some_and(|(at, _)| at + window < now) {
-            machine.cold_work.pop_front();
-        }
+        let Some(machine) = self.machines.get_mut(&id) else { return false };
+        while machine.cold_work.pop_front_if(|(at, _)| *at + window < now).is_some() {}
         let sent: f64 = machine.cold_work.iter().map(|(_, w)| w).sum();
-        machine.cold_work.is_empty() || sent + work <= budget
+        machine.cold_work.is_empty() || sent + work <= whole / f64::from(self.config.fronts)
     }
 
     /// Rule 2: whether a further attempt may go to this machine, given those before it.
-    fn repeat_allows(&self, now: Micros, held: &Held, entry: &Entry) -> bool {
+    fn repeat_allows(&self, held: &Held, entry: &Entry) -> bool {
         let mut ran = held.attempts.iter().filter(|a| a.may_have_run);
         let Some(first) = ran.clone().map(|a| a.sent).min() else { return true };
-        let in_flight = held.attempts.iter().any(|a| a.open);
-        if in_flight && !self.config.second_copies {
+        if !self.config.second_copies && held.attempts.iter().any(|a| a.open) {
             return false;
         }
         match self.config.classes[held.request.class.0].effect {
@@ -684,7 +583,7 @@
                     })
                 };
                 // A margin for the way: the repeat must arrive while the first is still remembered.
-                now + 100 * MS < first + window && (scope == Scope::All || ran.all(with))
+                self.now + 100 * MS < first + window && (scope == Scope::All || ran.all(with))
             }
         }
     }
@@ -698,88 +597,79 @@
         })
     }
 
-    /// All machines that the rules allow for this request; those that health advises against last.
-    fn eligible(&mut self, now: Micros, held: &Held) -> (Vec<MachineId>, Vec<MachineId>) {
+    /// All machines that the rules allow for this request, and those of them that health advises against.
+    fn eligible(&mut self, held: &Held) -> (Vec<MachineId>, Vec<MachineId>) {
         let (class, work) = (held.request.class, self.work(&held.request));
         let mut exposure: BTreeMap<Build, bool> = BTreeMap::new();
         let (mut good, mut poor) = (Vec::new(), Vec::new());
-        let ids: Vec<MachineId> = self.machines.iter().filter(|(_, m)| m.listed).map(|(id, _)| *id).collect();
-        for id in ids {
-            let entry = self.machines[&id].entry.clone();
-            let exposed = match exposure.get(&entry.build) {
-                Some(known) => *known,
-                None => {
-                    let allowed = self.exposure_allows(now, entry.build, class);
-                    exposure.insert(entry.build, allowed);
-                    allowed
-                }
-            };
-            if !exposed
-                || !self.key_allows(held.request.key, entry.build)
-                || !self.repeat_allows(now, held, &entry)
-                || !self.cold_allows(now, id, work)
+        let listed = self.machines.iter().filter(|(_, m)| m.listed);
+        let listed: Vec<_> = listed.map(|(id, m)| (*id, m.entry, m.ejected_until)).collect();
+        for (id, entry, ejected_until) in listed {
+            let build = entry.build;
+            if !*exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class))
+                || !self.key_allows(held.request.key, build)
+                || !self.repeat_allows(held, &entry)
+                || !self.cold_allows(id, work)
             {
                 continue;
             }
             let tried = held.attempts.iter().any(|a| a.machine == id);
-            let ejected = now < self.machines[&id].ejected_until;
-            if tried || ejected || self.shunned(entry.build, class) { poor.push(id) } else { good.push(id) }
+            let advised = !tried && self.now >= ejected_until && !self.shunned(build, class);
+            if advised { good.push(id) } else { poor.push(id) }
         }
         (good, poor)
     }
 
     /// Builds that failed are used only for want of others; an effect stays away once its class fails.
     fn shunned(&self, build: Build, class: ClassId) -> bool {
-        let Some(record) = self.records.get(&build) else { return false };
         let effect = self.config.classes[class.0].effect != Effect::Safe;
-        record.state == State::Failed || (effect && record.failing_since[class.0].is_some())
+        let fails = |r: &Record| r.state == State::Failed || effect && r.failing_since[class.0].is_some();
+        self.records.get(&build).is_some_and(fails)
     }
 
     // ---- Server choice ----
 
     /// Power of two choices by requests in flight, for size, pace and zone. Machines that health advises
     /// against are left out unless that would leave less than half: then the trouble is not theirs.
-    fn choose(&mut self, now: Micros, held: &Held) -> Option<MachineId> {
-        let (mut good, poor) = self.eligible(now, held);
+    fn choose(&mut self, held: &Held) -> Option<MachineId> {
+        let (mut good, poor) = self.eligible(held);
         if good.len() < poor.len() {
             good.extend(poor);
         }
         if good.is_empty() {
             return None;
         }
-        let a = good[self.rng.usize(..good.len())];
-        let b = good[self.rng.usize(..good.len())];
-        Some(if self.load(now, b) < self.load(now, a) { b } else { a })
+        let (a, b) = (good[self.rng.usize(..good.len())], good[self.rng.usize(..good.len())]);
+        Some(if self.load(b) < self.load(a) { b } else { a })
     }
 
-    fn load(&self, now: Micros, id: MachineId) -> f64 {
+    fn load(&self, id: MachineId) -> f64 {
         let machine = &self.machines[&id];
         let across = machine.entry.zone != self.config.zone && self.config.cross_zone_price > 0.0;
-        let size = machine.entry.rating.max(0.01) * self.warmth(now, &machine.entry).unwrap_or(1.0);
-        f64::from(machine.open + 1) * machine.paced(now).exp() / size * if across { CROSSING } else { 1.0 }
+        let size = machine.entry.rating.max(0.01) * self.warmth(&machine.entry).unwrap_or(1.0);
+        let waits = f64::from(machine.open + 1) * machine.paced(self.now).exp() / size;
+        waits * if across { CROSSING } else { 1.0 }
     }
 
     // ---- Request life ----
 
-    fn request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
-        self.requests.add(now, request.class);
+    fn request(&mut self, request: Request) {
+        self.requests.add(self.now, request.class);
         self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
         for (i, rate) in self.tenant_rate.iter_mut().enumerate() {
             *rate = *rate * 0.99 + 0.01 * f64::from(u8::from(request.tenant == Some(TenantId(i))));
         }
-        let id = request.id;
-        let admitted = self.admits(&request);
-        let held =
-            Held { request, arrived: now, attempts: Vec::new(), waiting: false, begun: false, over: false };
-        self.held.insert(id, held);
-        if admitted { self.place(now, id, out) } else { self.give_up(now, id, out) }
+        let (id, admitted, arrived) = (request.id, self.admits(&request), self.now);
+        let (waiting, begun, over) = (false, false, false);
+        self.held.insert(id, Held { request, arrived, attempts: Vec::new(), waiting, begun, over });
+        if admitted { self.place(id) } else { self.give_up(id) }
     }
 
     /// Refusal early under overload: beyond the limit on open requests, which follows how late answers
     /// come; the classes of less worth and tenants beyond their share go first.
     fn admits(&self, request: &Request) -> bool {
-        let most = self.config.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
-        let worth = self.config.classes[request.class.0].worth / most.max(1e-9);
+        let most = self.config.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
+        let worth = self.config.classes[request.class.0].worth / most;
         let over =
             request.tenant.is_some_and(|t| self.tenant_rate[t.0] > 1.25 * self.config.tenants[t.0].share);
         let worth = if over { worth * self.config.over_share_worth } else { worth };
@@ -787,279 +677,194 @@
     }
 
     /// Starts an attempt at an eligible machine; without one the request waits a little for one.
-    fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+    fn place(&mut self, id: RequestId) {
         let Some(mut held) = self.held.remove(&id) else { return };
-        let choice = self.choose(now, &held);
+        let (now, choice, work) = (self.now, self.choose(&held), self.work(&held.request));
         let class = &self.config.classes[held.request.class.0];
-        if let Some(machine) = choice {
-            // An answer that earns nothing is not waited for: the work is better spent on others.
-            let useful =
-                if class.late_worth > 0.0 { held.request.deadline } else { held.arrived + class.aim };
-            let time_out = (useful < held.request.deadline && !class.streamed)
-                .then(|| useful.saturating_sub(now).max(MS));
-            let entry = self.machines[&machine].entry.clone();
-            let cold = self.warmth(now, &entry).is_some();
-            if cold {
-                let work = self.work(&held.request);
-                if let Some(m) = self.machines.get_mut(&machine) {
-                    m.cold_work.push_back((now, work));
-                }
-            }
-            if let Some(m) = self.machines.get_mut(&machine) {
-                m.open += 1;
+        // An answer that earns nothing is not waited for: the work is better spent on others.
+        let useful = if class.late_worth > 0.0 { held.request.deadline } else { held.arrived + class.aim };
+        let cut = useful < held.request.deadline && !class.streamed;
+        let patience = (held.arrived + class.aim / 2).min(held.request.deadline.saturating_sub(2 * TICK));
+        if let Some((machine, m)) = choice.and_then(|c| Some((c, self.machines.get_mut(&c)?))) {
+            m.open += 1;
+            let (entry, class) = (m.entry, held.request.class);
+            let (build, cold) = (entry.build, self.warmth(&entry).is_some());
+            if let Some(m) = self.machines.get_mut(&machine).filter(|_| cold) {
+                m.cold_work.push_back((now, work));
             }
-            self.record(now, entry.build).attempts.add(now, held.request.class);
-            let build = entry.build;
+            self.record(build).attempts.add(now, class);
             held.attempts.push(Attempt { machine, build, sent: now, cold, open: true, may_have_run: true });
             held.waiting = false;
             self.open += 1;
-            out.push(Action::Place { id, machine, time_out });
+            let time_out = cut.then(|| useful.saturating_sub(now).max(MS));
+            self.out.push(Action::Place { id, machine, time_out });
             self.held.insert(id, held);
-            return;
-        }
-        let patience = (held.arrived + class.aim / 2).min(held.request.deadline.saturating_sub(2 * TICK));
-        let wait = now < patience;
-        if wait && !held.waiting {
+        } else if now < patience {
             held.waiting = true;
             self.waiting.push_back(id);
-        }
-        self.held.insert(id, held);
-        if !wait {
-            self.log(now, "nowhere", out, || "no machine may take a request: refusing".into());
-            self.give_up(now, id, out);
-        }
-    }
-
-    fn begun(&mut self, now: Micros, id: RequestId, attempt: usize) {
-        let _ = (now, attempt);
-        if let Some(held) = self.held.get_mut(&id) {
-            held.begun = true;
+            self.held.insert(id, held);
+        } else {
+            self.held.insert(id, held);
+            self.log("nowhere", || "no machine may take a request: giving up".into());
+            self.give_up(id);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn done(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: usize,
-        outcome: Outcome,
-        lag: Micros,
-        over: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn done(&mut self, done: &Done) {
+        let &Done { id, attempt, outcome, lag, over, .. } = done;
         let Some(mut held) = self.held.remove(&id) else { return };
         let class = held.request.class;
         if let Some(tried) = held.attempts.get_mut(attempt).filter(|a| a.open) {
             tried.open = false;
             tried.may_have_run = outcome.may_have_run();
-            let (machine, build, sent, cold) = (tried.machine, tried.build, tried.sent, tried.cold);
-            self.open = self.open.saturating_sub(1);
-            if let Some(m) = self.machines.get_mut(&machine) {
-                m.open = m.open.saturating_sub(1);
-            }
-            let ran = matches!(outcome, Outcome::Served | Outcome::TimedOut);
-            let (usual, slower) = self.compare(&held.request, machine, build, lag, cold, outcome);
-            if outcome != Outcome::Withdrawn && outcome != Outcome::Unsent {
-                self.machine_outcome(now, machine, outcome, usual, out);
-                let late = lag > self.config.classes[class.0].aim * 3 / 4 || outcome == Outcome::Full;
-                self.late += (f64::from(u8::from(late)) - self.late) * 0.05;
-            }
-            let failed = matches!(outcome, Outcome::Error | Outcome::TimedOut);
-            if failed || ran {
-                let timed_out = outcome == Outcome::TimedOut;
-                let slower = slower.filter(|_| ran && !cold);
-                let seen = Seen { at: now, failed, timed_out, slower, machine };
-                self.outcome_on_record(now, class, build, seen, sent);
-                self.judge(now, out);
-            }
-            if let (Outcome::Served, Some(key)) = (outcome, held.request.key) {
-                if self.config.rollout.one_way && self.on_trial(build) {
-                    self.answered_keys.insert(key, build);
-                }
-            }
+            self.learn(&held.request, &held.attempts[attempt], outcome, lag);
         }
-        held.over |= over;
         let in_flight = held.attempts.iter().any(|a| a.open);
-        if held.over || in_flight || held.begun {
-            if held.over && outcome == Outcome::Served {
-                self.withdraw_rest(&held, out);
-            }
-            if !held.over || in_flight {
-                self.held.insert(id, held);
-            }
-            return;
-        }
-        let effect = self.config.classes[class.0].effect;
-        let useful = now + self.config.resolution < held.arrived + self.config.classes[class.0].aim;
-        let allowed = held.attempts.len() < self.config.max_attempts && useful && self.retries >= 1.0;
-        let unharmed = held.attempts.iter().all(|a| !a.may_have_run) || effect != Effect::Once;
+        let ran = held.attempts.iter().any(|a| a.may_have_run);
+        let Class { effect, aim, .. } = self.config.classes[class.0];
+        let useful = self.now + self.config.resolution < held.request.deadline.min(held.arrived + aim);
+        let more = held.attempts.len() < self.config.max_attempts && useful && self.retries >= 1.0;
+        let (over, begun) = (over || held.over, held.begun);
         self.held.insert(id, held);
-        if allowed && unharmed && now < self.deadline(id) {
+        if over {
+            self.end(id);
+        } else if in_flight || begun {
+        } else if more && !(ran && effect == Effect::Once) {
             self.retries -= 1.0;
-            self.place(now, id, out);
+            self.place(id);
         } else {
-            self.give_up(now, id, out);
+            self.give_up(id);
         }
     }
 
-    fn deadline(&self, id: RequestId) -> Micros {
-        self.held.get(&id).map_or(0, |h| h.request.deadline)
-    }
-
-    /// How much slower than usual (logarithm) an outcome is: against all machines, and against those of
-    /// its kind; and teaches the usual from machines that are warm and not on trial.
-    fn compare(
-        &mut self,
-        request: &Request,
-        m: MachineId,
-        build: Build,
-        lag: Micros,
-        cold: bool,
-        outcome: Outcome,
-    ) -> (f64, Option<f64>) {
-        let unit = request.hint.map_or(1.0, |h| h.max(1) as f64);
-        let value = (lag.max(1) as f64 / unit).ln();
-        let kind = self.machines.get(&m).map(|m| m.entry.kind);
+    /// What the end of an attempt tells: of its machine, of how full the fleet is, and of its build.
+    fn learn(&mut self, request: &Request, tried: &Attempt, outcome: Outcome, lag: Micros) {
+        let &Attempt { machine, build, sent, cold, .. } = tried;
+        self.open = self.open.saturating_sub(1);
+        let Some(m) = self.machines.get_mut(&machine) else { return };
+        m.open = m.open.saturating_sub(1);
+        let kind = m.entry.kind;
+        if matches!(outcome, Outcome::Withdrawn | Outcome::Unsent) {
+            return;
+        }
+        let used = lag as f64 / self.config.classes[request.class.0].aim.max(1) as f64;
+        let used = if outcome == Outcome::Full { 1.0 } else { used.min(2.0) };
+        self.time_used += (used - self.time_used) * 0.05;
+        let value = (lag.max(1) as f64 / request.hint.map_or(1.0, |h| h.max(1) as f64)).ln();
         let teaches = outcome == Outcome::Served && !cold && !self.on_trial(build);
-        let mut against = |kind: Option<KindId>| {
+        let [of_all, of_kind] = [None, Some(kind)].map(|kind| {
             let usual = self.usual.entry((request.class, kind)).or_insert((value, 0));
             if teaches {
                 usual.1 += 1;
                 usual.0 += (value - usual.0) / f64::from(usual.1.min(200));
             }
             (usual.1 >= JUDGED_FROM as u32).then_some(value - usual.0)
-        };
-        (against(None).unwrap_or(0.0), kind.and_then(|k| against(Some(k))))
-    }
-
-    fn withdraw_rest(&self, held: &Held, out: &mut Vec<Action>) {
-        if self.config.withdrawals && !held.begun {
-            let open = held.attempts.iter().enumerate().filter(|(_, a)| a.open);
-            out.extend(open.map(|(attempt, _)| Action::Withdraw { id: held.request.id, attempt }));
+        });
+        self.machine_outcome(machine, outcome, of_all.unwrap_or(0.0));
+        let timed_out = outcome == Outcome::TimedOut;
+        // A cold machine is slow whatever it runs: its time-outs say nothing of the build.
+        if matches!(outcome, Outcome::Served | Outcome::Error) || timed_out && !cold {
+            let failed = outcome != Outcome::Served;
+            let slower = of_kind.filter(|_| !cold && outcome != Outcome::Error);
+            let seen = Seen { at: self.now, failed, timed_out, slower, machine };
+            self.put_on_record(request.class, build, seen, sent);
+            self.judge();
+        }
+        if let (Outcome::Served, true, Some(key)) = (outcome, self.config.rollout.one_way, request.key) {
+            if self.on_trial(build) {
+                self.answered_keys.insert(key, build);
+            }
         }
     }
 
     /// The final answer, at once: rejected where the rules allow to say so, with advice when to come back.
-    fn give_up(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(mut held) = self.held.remove(&id) else { return };
+    fn give_up(&mut self, id: RequestId) {
+        let Some(held) = self.held.get(&id) else { return };
         let ran = held.attempts.iter().any(|a| a.may_have_run);
         let refusable = match self.config.classes[held.request.class.0].effect {
             Effect::Safe => true,
             Effect::Once => !ran,
             Effect::Keyed { scope, .. } => !ran || scope == Scope::All,
         };
-        if refusable {
-            let come_back = self.config.retry_advice.map(|most| most / 2 + self.rng.u64(0..=most / 2));
-            out.push(Action::Refuse { id, come_back });
-        } else {
-            out.push(Action::Fail(id));
-        }
-        held.over = true;
-        self.withdraw_rest(&held, out);
-        if held.attempts.iter().any(|a| a.open) {
-            self.held.insert(id, held);
-        }
-        let _ = now;
+        let come_back = self.config.retry_advice.map(|most| most / 2 + self.rng.u64(0..=most / 2));
+        self.out.push(if refusable { Action::Refuse { id, come_back } } else { Action::Fail(id) });
+        self.end(id);
     }
 
-    fn gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    /// The request is over: attempts still out are withdrawn, and remembered until they end.
+    fn end(&mut self, id: RequestId) {
         let Some(mut held) = self.held.remove(&id) else { return };
-        if !held.over {
-            held.over = true;
-            self.withdraw_rest(&held, out);
+        let open = held.attempts.iter().enumerate().filter(|(_, a)| a.open);
+        if !held.over && self.config.withdrawals && !held.begun {
+            self.out.extend(open.clone().map(|(attempt, _)| Action::Withdraw { id, attempt }));
         }
-        if held.attempts.iter().any(|a| a.open) {
+        if open.count() > 0 {
+            held.over = true;
             self.held.insert(id, held);
         }
     }
 
     // ---- Housekeeping ----
 
-    fn housekeeping(&mut self, now: Micros, out: &mut Vec<Action>) {
-        self.judge(now, out);
-        self.vote(now, out);
-        for _ in 0..self.waiting.len() {
-            let Some(id) = self.waiting.pop_front() else { break };
-            if let Some(held) = self.held.get_mut(&id).filter(|h| h.waiting && !h.over) {
-                held.waiting = false;
-                self.place(now, id, out);
+    fn housekeeping(&mut self) {
+        self.out.push(Action::SetTimer { after: TICK, token: 0 });
+        self.judge();
+        self.vote();
+        for id in std::mem::take(&mut self.waiting) {
+            if self.held.get(&id).is_some_and(|h| h.waiting && !h.over) {
+                self.place(id);
             }
         }
         if self.config.ask_for_fleet {
-            let due = self.ask_again.is_some_and(|at| now >= at);
-            let silent =
-                self.ask_again.is_none() && self.machines.is_empty() && now > self.asked + 4 * SECOND;
-            if due || silent {
-                self.ask(now, out);
+            let silent = self.machines.is_empty() && self.now > self.asked + 4 * SECOND;
+            if self.ask_again.map_or(silent, |at| self.now >= at) {
+                self.ask();
             }
         }
-        if now >= self.limited_at + 2 * TICK {
-            self.limited_at = now;
-            if self.late > LATE_HIGH {
-                let least = 4.0f64.max(self.machines.len() as f64 / f64::from(self.config.fronts));
-                self.limit = (self.limit.min(f64::from(self.open)) * 0.95).max(least);
-                self.log(now, "limit", out, || "answers come late: fewer requests let in".into());
-            } else if self.late < LATE_LOW {
-                self.limit = (self.limit * 1.03).min(1e6);
-            }
+        if self.time_used > FULL_TIME {
+            let least = 4.0f64.max(2.0 * self.machines.len() as f64 / f64::from(self.config.fronts));
+            self.limit = (self.limit.min(f64::from(self.open)) * 0.97).max(least);
+            self.log("limit", || "answers come late: fewer requests let in".into());
+        } else if self.time_used < FREE_TIME {
+            self.limit = (self.limit * 1.015).min(1e6);
         }
         while self.records.len() > 4 {
             self.records.pop_first();
         }
     }
 
-    fn log(
-        &mut self,
-        now: Micros,
-        kind: &'static str,
-        out: &mut Vec<Action>,
-        words: impl FnOnce() -> String,
-    ) {
-        let due = self.logged.get(kind).is_none_or(|at| now >= at + LOG_GAP);
+    fn log(&mut self, kind: &'static str, words: impl FnOnce() -> String) {
+        let due = self.logged.get(kind).is_none_or(|at| self.now >= at + LOG_GAP);
         if due || kind == "verdict" || kind == "vote" {
-            self.logged.insert(kind, now);
-            out.push(Action::Log(words()));
+            self.logged.insert(kind, self.now);
+            self.out.push(Action::Log(words()));
         }
     }
 }
 
 impl Machine {
-    fn new(entry: Entry) -> Self {
-        Machine {
-            entry,
-            listed: true,
-            open: 0,
-            pace: 0.0,
-            paced_at: 0,
-            faults: 0.0,
-            outcomes: 0,
-            ejected_until: 0,
-            ejection: EJECT_FIRST,
-            cold_work: VecDeque::new(),
-        }
-    }
-
     fn paced(&self, now: Micros) -> f64 {
         self.pace * (-(now.saturating_sub(self.paced_at) as f64) / FORGET * std::f64::consts::LN_2).exp()
     }
 }
 
-/// The machine that weighs most against a build, and whether it is the only one seen.
-fn worst_machine(seen: &[&Seen], weight: impl Fn(&Seen) -> f64) -> Option<(MachineId, bool)> {
-    let mut sums: BTreeMap<MachineId, f64> = BTreeMap::new();
-    for s in seen {
-        *sums.entry(s.machine).or_insert(0.0) += weight(s);
-    }
-    let worst = sums.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(id, _)| *id)?;
-    Some((worst, sums.len() == 1))
+/// Whether a failure shows on most machines of a build, each by its mean over a bar.
+/// Danger: machines with quick errors, a neighbour or a crash among many fail a good build. Harm: a build
+/// that is bad on fewer than half of its machines goes on.
+fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, bar: f64) -> Mark {
+    let mut machines: BTreeMap<MachineId, (f64, f64)> = BTreeMap::new();
+    for (machine, weight) in seen {
+        let sum = machines.entry(machine).or_insert((0.0, 0.0));
+        *sum = (sum.0 + weight, sum.1 + 1.0);
+    }
+    let over = machines.values().filter(|(sum, n)| sum / n > bar).count();
+    if over * 2 > machines.len() { Mark::Fail { lone: machines.len() == 1 } } else { Mark::Pass }
 }
 
 /// Mean of the times, and its standard error.
-fn mean_error<'a>(seen: impl Iterator<Item = &'a Seen> + Clone) -> (f64, f64) {
-    let times = seen.filter_map(|s| s.slower);
-    let n = times.clone().count().max(2) as f64;
-    let mean = times.clone().sum::<f64>() / n;
-    let spread = times.map(|t| (t - mean).powi(2)).sum::<f64>() / (n - 1.0);
+fn mean_error(times: &[(MachineId, f64)]) -> (f64, f64) {
+    let n = times.len().max(2) as f64;
+    let mean = times.iter().map(|t| t.1).sum::<f64>() / n;
+    let spread = times.iter().map(|t| (t.1 - mean).powi(2)).sum::<f64>() / (n - 1.0);
     (mean, (spread / n).sqrt())
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -91,9 +91,10 @@
 }
 
 /// How votes move a build.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum VoteMode {
     /// One vote on is enough.
+    #[default]
     Any,
     /// A number of instances must stand for it.
     Share,
@@ -102,16 +103,17 @@
 }
 
 /// Whether earlier machines remain while their successors are on trial.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Replace {
     /// They stay until the release.
+    #[default]
     Beside,
     /// Each is drained once its successor runs.
     InPlace,
 }
 
 /// How the platform brings builds in, and what the votes do.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Rollout {
     /// How votes move a build.
     pub mode: VoteMode,
@@ -146,7 +148,7 @@
 }
 
 /// What is known at the start of an instance.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Config {
     /// Instances in this tier.
     pub fronts: u32,
@@ -197,9 +199,10 @@
 }
 
 /// What the fleet list says of a machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Presence {
     /// It runs.
+    #[default]
     On,
     /// It completes its work and takes nothing new.
     Draining,
@@ -208,7 +211,7 @@
 }
 
 /// One line of the fleet list.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct Entry {
     /// The machine.
     pub machine: MachineId,
@@ -347,6 +350,23 @@
     pub repeat: bool,
 }
 
+/// The end of an attempt.
+#[derive(Debug, Clone)]
+pub struct Done {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt.
+    pub attempt: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was sent.
+    pub lag: Micros,
+    /// The request is over.
+    pub over: bool,
+    /// The machine's load report, in the order of the settings.
+    pub load: Vec<f64>,
+}
+
 /// One thing that happened to this instance.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -362,20 +382,7 @@
         attempt: usize,
     },
     /// An attempt ended.
-    Done {
-        /// The request.
-        id: RequestId,
-        /// Number of the attempt.
-        attempt: usize,
-        /// How it ended.
-        outcome: Outcome,
-        /// Time since it was sent.
-        lag: Micros,
-        /// The request is over.
-        over: bool,
-        /// The machine's load report, in the order of the settings.
-        load: Vec<f64>,
-    },
+    Done(Done),
     /// The client has left; nothing is owed any more.
     Gone(RequestId),
     /// A timer is due.
