--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,5 @@
-//! Every decision of garnetcrank and every tuned constant; its types are in `src/interface.rs`.
+//! Every decision of garnetcrank and every tuned constant. What goes in and out is in
+//! `src/interface.rs`; the plain data kept in between is in `src/state.rs`.
 //! The mechanism is that of docs/design.md: a fresh record per build on trial, judged by this
 //! instance's own outcomes; votes held while a failure runs, back once it is sustained.
 
@@ -7,6 +8,7 @@
 use fastrand::Rng;
 
 use crate::interface::*;
+use crate::state::*;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000 * MS;
@@ -29,9 +31,8 @@
 
 // Machines.
 const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and fault share
-const FORGET: f64 = 5.0e6; // a pace is forgotten by half in this span, so that a slow machine is tried again
-const EJECT_ABOVE: f64 = 0.5; // fault share above which a machine is ejected ...
-const EJECT_FROM: u32 = 5; // ... once it has so many outcomes
+const FORGET: f64 = 0.9965; // a pace fades so each tick, by half in 5 s, so that a slow machine is tried again
+const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
 const EJECT_FIRST: Micros = SECOND; // first ejection, doubled with each in a row ...
 const EJECT_MOST: Micros = 8 * SECOND; // ... up to this
 const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
@@ -47,110 +48,6 @@
 const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
 const LOG_GAP: Micros = 5 * SECOND; // shortest gap between log lines of one kind
 
-/// Attempts or requests of the last span, counted by class.
-#[derive(Default)]
-struct Window {
-    span: Micros,
-    log: VecDeque<(Micros, ClassId)>,
-    counts: Vec<u32>,
-}
-
-impl Window {
-    fn new(span: Micros, classes: usize) -> Self {
-        Window { span, counts: vec![0; classes], ..Self::default() }
-    }
-
-    fn add(&mut self, now: Micros, class: ClassId) {
-        self.log.push_back((now, class));
-        self.counts[class.0] += 1;
-    }
-
-    /// What is left of the span that ends now; of one class, or of all.
-    fn count(&mut self, now: Micros, class: Option<ClassId>) -> f64 {
-        while let Some((_, class)) = self.log.pop_front_if(|(at, _)| *at + self.span < now) {
-            self.counts[class.0] -= 1;
-        }
-        class.map_or(self.log.len() as f64, |c| f64::from(self.counts[c.0]))
-    }
-
-    fn clear(&mut self) {
-        self.log.clear();
-        self.counts.fill(0);
-    }
-}
-
-#[derive(Default)]
-struct Machine {
-    entry: Entry,
-    listed: bool,
-    open: u32,
-    pace: f64, // smoothed logarithm of how much slower than usual its answers are, as of `paced_at`
-    paced_at: Micros,
-    faults: f64,
-    outcomes: u32,
-    ejected_until: Micros,
-    ejection: Micros,
-    cold_work: VecDeque<(Micros, f64)>, // sent to it within the fall window, while it may be cold
-}
-
-#[derive(Clone, Copy)]
-struct Seen {
-    at: Micros,
-    failed: bool,
-    timed_out: bool,     // blames the build only beside a living earlier one
-    slower: Option<f64>, // logarithm over the usual of its class and kind, where comparable
-    machine: MachineId,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Mark {
-    Unjudged,
-    Pass,
-    Fail { lone: bool },
-}
-
-#[derive(PartialEq)]
-enum State {
-    Soaking,
-    Failed, // sustained: voted back until the platform says that it goes
-}
-
-/// What this instance knows of one build (RFC-0005's record, one per build on trial).
-struct Record {
-    state: State,
-    born: Micros,
-    last_seen: Micros,
-    seen: Vec<VecDeque<Seen>>,
-    marks: Vec<Mark>, // one a class, and one more for the build's times
-    failing_since: Vec<Option<Micros>>,
-    attempts: Window,
-}
-
-struct Attempt {
-    machine: MachineId,
-    build: Build,
-    sent: Micros,
-    cold: bool,
-    open: bool,
-    may_have_run: bool,
-}
-
-struct Held {
-    request: Request,
-    arrived: Micros,
-    attempts: Vec<Attempt>,
-    waiting: bool,
-    begun: bool,
-    over: bool,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-struct Vote {
-    build: Build,
-    stage: usize,
-    verdict: Verdict,
-}
-
 /// The decisions of one instance: a state machine over events and the clock that comes with them.
 #[derive(Default)]
 pub struct Brain {
@@ -186,14 +83,12 @@
 impl Brain {
     /// A new instance that knows nothing but its settings.
     pub fn new(seed: u64, config: Config) -> Self {
+        // A tick short, as attempts are counted a tick long: rounding never favours us.
+        let span = config.rollout.window.saturating_sub(config.resolution);
         Brain {
             rng: Rng::with_seed(seed),
             ask_wait: SECOND,
-            // A tick short, as attempts are counted a tick long: rounding never favours us.
-            requests: Window::new(
-                config.rollout.window.saturating_sub(config.resolution),
-                config.classes.len(),
-            ),
+            requests: Window::new(span, config.classes.len()),
             vote_wait: VOTE_AGAIN,
             retries: RETRY_SAVED,
             limit: f64::INFINITY,
@@ -218,7 +113,7 @@
             Event::Request(request) => self.request(request),
             Event::Begun { id, .. } => {
                 if let Some(held) = self.held.get_mut(&id) {
-                    held.begun = true;
+                    held.life = Life::Begun;
                 }
             }
             Event::Done(done) => self.done(&done),
@@ -273,7 +168,7 @@
     /// How much of its capacity a machine surely has; none: long warm.
     fn warmth(&self, entry: &Entry) -> Option<f64> {
         let risen = self.now.saturating_sub(entry.started?) as f64 / self.config.warm_after.max(1) as f64;
-        (risen < 1.0).then(|| self.config.cold_from + (1.0 - self.config.cold_from) * risen)
+        (risen < 1.0).then_some(self.config.cold_from + (1.0 - self.config.cold_from) * risen)
     }
 
     /// Expected work of a request: its hint, else the usual time of its class (which errs upwards).
@@ -289,14 +184,12 @@
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let fault = outcome != Outcome::Served;
         let sample = if fault { slower.max(FAULT_PACE) } else { slower };
-        machine.pace = machine.paced(now) * (1.0 - NEWEST) + sample * NEWEST;
-        machine.paced_at = now;
-        machine.faults = machine.faults * (1.0 - NEWEST) + NEWEST * f64::from(u8::from(fault));
-        machine.outcomes += 1;
+        machine.pace += (sample - machine.pace) * NEWEST;
+        machine.faults += (f64::from(u8::from(fault)) - machine.faults) * NEWEST;
         // A machine that can't be reached costs a connect time-out a try: out at once. One that fails goes
         // once it fails most; not one of a build on trial, whose failures are the judge's evidence.
         let dead = matches!(outcome, Outcome::Unreached | Outcome::Broken);
-        let failing = machine.faults > EJECT_ABOVE && machine.outcomes >= EJECT_FROM && !trial;
+        let failing = machine.faults > EJECT_ABOVE && !trial;
         if !fault {
             machine.ejection = EJECT_FIRST;
         } else if (dead || failing) && now >= machine.ejected_until {
@@ -566,9 +459,9 @@
 
     /// Rule 2: whether a further attempt may go to this machine, given those before it.
     fn repeat_allows(&self, held: &Held, entry: &Entry) -> bool {
-        let mut ran = held.attempts.iter().filter(|a| a.may_have_run);
+        let mut ran = held.attempts.iter().filter(|a| a.may_have_run());
         let Some(first) = ran.clone().map(|a| a.sent).min() else { return true };
-        if !self.config.second_copies && held.attempts.iter().any(|a| a.open) {
+        if !self.config.second_copies && held.attempts.iter().any(|a| a.open()) {
             return false;
         }
         match self.config.classes[held.request.class.0].effect {
@@ -647,7 +540,7 @@
         let machine = &self.machines[&id];
         let across = machine.entry.zone != self.config.zone && self.config.cross_zone_price > 0.0;
         let size = machine.entry.rating.max(0.01) * self.warmth(&machine.entry).unwrap_or(1.0);
-        let waits = f64::from(machine.open + 1) * machine.paced(self.now).exp() / size;
+        let waits = f64::from(machine.open + 1) * machine.pace.exp() / size;
         waits * if across { CROSSING } else { 1.0 }
     }
 
@@ -660,8 +553,7 @@
             *rate = *rate * 0.99 + 0.01 * f64::from(u8::from(request.tenant == Some(TenantId(i))));
         }
         let (id, admitted, arrived) = (request.id, self.admits(&request), self.now);
-        let (waiting, begun, over) = (false, false, false);
-        self.held.insert(id, Held { request, arrived, attempts: Vec::new(), waiting, begun, over });
+        self.held.insert(id, Held { request, arrived, attempts: Vec::new(), life: Life::Open });
         if admitted { self.place(id) } else { self.give_up(id) }
     }
 
@@ -693,14 +585,14 @@
                 m.cold_work.push_back((now, work));
             }
             self.record(build).attempts.add(now, class);
-            held.attempts.push(Attempt { machine, build, sent: now, cold, open: true, may_have_run: true });
-            held.waiting = false;
+            held.attempts.push(Attempt { machine, build, sent: now, cold, outcome: None });
+            held.life = Life::Open;
             self.open += 1;
             let time_out = cut.then(|| useful.saturating_sub(now).max(MS));
             self.out.push(Action::Place { id, machine, time_out });
             self.held.insert(id, held);
         } else if now < patience {
-            held.waiting = true;
+            held.life = Life::Waiting;
             self.waiting.push_back(id);
             self.held.insert(id, held);
         } else {
@@ -714,17 +606,16 @@
         let &Done { id, attempt, outcome, lag, over, .. } = done;
         let Some(mut held) = self.held.remove(&id) else { return };
         let class = held.request.class;
-        if let Some(tried) = held.attempts.get_mut(attempt).filter(|a| a.open) {
-            tried.open = false;
-            tried.may_have_run = outcome.may_have_run();
+        if let Some(tried) = held.attempts.get_mut(attempt).filter(|a| a.open()) {
+            tried.outcome = Some(outcome);
             self.learn(&held.request, &held.attempts[attempt], outcome, lag);
         }
-        let in_flight = held.attempts.iter().any(|a| a.open);
-        let ran = held.attempts.iter().any(|a| a.may_have_run);
+        let in_flight = held.attempts.iter().any(|a| a.open());
+        let ran = held.attempts.iter().any(|a| a.may_have_run());
         let Class { effect, aim, .. } = self.config.classes[class.0];
         let useful = self.now + self.config.resolution < held.request.deadline.min(held.arrived + aim);
         let more = held.attempts.len() < self.config.max_attempts && useful && self.retries >= 1.0;
-        let (over, begun) = (over || held.over, held.begun);
+        let (over, begun) = (over || held.life == Life::Over, held.life == Life::Begun);
         self.held.insert(id, held);
         if over {
             self.end(id);
@@ -770,17 +661,17 @@
             self.put_on_record(request.class, build, seen, sent);
             self.judge();
         }
-        if let (Outcome::Served, true, Some(key)) = (outcome, self.config.rollout.one_way, request.key) {
-            if self.on_trial(build) {
-                self.answered_keys.insert(key, build);
-            }
+        if let (Outcome::Served, true, Some(key)) = (outcome, self.config.rollout.one_way, request.key)
+            && self.on_trial(build)
+        {
+            self.answered_keys.insert(key, build);
         }
     }
 
     /// The final answer, at once: rejected where the rules allow to say so, with advice when to come back.
     fn give_up(&mut self, id: RequestId) {
         let Some(held) = self.held.get(&id) else { return };
-        let ran = held.attempts.iter().any(|a| a.may_have_run);
+        let ran = held.attempts.iter().any(|a| a.may_have_run());
         let refusable = match self.config.classes[held.request.class.0].effect {
             Effect::Safe => true,
             Effect::Once => !ran,
@@ -794,12 +685,12 @@
     /// The request is over: attempts still out are withdrawn, and remembered until they end.
     fn end(&mut self, id: RequestId) {
         let Some(mut held) = self.held.remove(&id) else { return };
-        let open = held.attempts.iter().enumerate().filter(|(_, a)| a.open);
-        if !held.over && self.config.withdrawals && !held.begun {
+        let open = held.attempts.iter().enumerate().filter(|(_, a)| a.open());
+        if self.config.withdrawals && !matches!(held.life, Life::Begun | Life::Over) {
             self.out.extend(open.clone().map(|(attempt, _)| Action::Withdraw { id, attempt }));
         }
         if open.count() > 0 {
-            held.over = true;
+            held.life = Life::Over;
             self.held.insert(id, held);
         }
     }
@@ -808,10 +699,11 @@
 
     fn housekeeping(&mut self) {
         self.out.push(Action::SetTimer { after: TICK, token: 0 });
+        self.machines.values_mut().for_each(|m| m.pace *= FORGET);
         self.judge();
         self.vote();
         for id in std::mem::take(&mut self.waiting) {
-            if self.held.get(&id).is_some_and(|h| h.waiting && !h.over) {
+            if self.held.get(&id).is_some_and(|h| h.life == Life::Waiting) {
                 self.place(id);
             }
         }
@@ -842,12 +734,6 @@
     }
 }
 
-impl Machine {
-    fn paced(&self, now: Micros) -> f64 {
-        self.pace * (-(now.saturating_sub(self.paced_at) as f64) / FORGET * std::f64::consts::LN_2).exp()
-    }
-}
-
 /// Whether a failure shows on most machines of a build, each by its mean over a bar.
 /// Danger: machines with quick errors, a neighbour or a crash among many fail a good build. Harm: a build
 /// that is bad on fewer than half of its machines goes on.
@@ -860,11 +746,3 @@
     let over = machines.values().filter(|(sum, n)| sum / n > bar).count();
     if over * 2 > machines.len() { Mark::Fail { lone: machines.len() == 1 } } else { Mark::Pass }
 }
-
-/// Mean of the times, and its standard error.
-fn mean_error(times: &[(MachineId, f64)]) -> (f64, f64) {
-    let n = times.len().max(2) as f64;
-    let mean = times.iter().map(|t| t.1).sum::<f64>() / n;
-    let spread = times.iter().map(|t| (t.1 - mean).powi(2)).sum::<f64>() / (n - 1.0);
-    (mean, (spread / n).sqrt())
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod brain;
 pub mod interface;
+mod state;
 
 pub use brain::Brain;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,138 @@
+//! The plain data that the decision module keeps: nothing here decides anything.
+
+use std::collections::VecDeque;
+
+use crate::interface::*;
+
+/// Attempts or requests of the last span, counted by class.
+#[derive(Default)]
+pub(crate) struct Window {
+    pub(crate) span: Micros,
+    pub(crate) log: VecDeque<(Micros, ClassId)>,
+    pub(crate) counts: Vec<u32>,
+}
+
+impl Window {
+    pub(crate) fn new(span: Micros, classes: usize) -> Self {
+        Window { span, counts: vec![0; classes], ..Self::default() }
+    }
+
+    pub(crate) fn add(&mut self, now: Micros, class: ClassId) {
+        self.log.push_back((now, class));
+        self.counts[class.0] += 1;
+    }
+
+    /// What is left of the span that ends now; of one class, or of all.
+    pub(crate) fn count(&mut self, now: Micros, class: Option<ClassId>) -> f64 {
+        while let Some((_, class)) = self.log.pop_front_if(|(at, _)| *at + self.span < now) {
+            self.counts[class.0] -= 1;
+        }
+        class.map_or(self.log.len() as f64, |c| f64::from(self.counts[c.0]))
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.log.clear();
+        self.counts.fill(0);
+    }
+}
+
+/// A machine of the list, and this instance's own view of its health.
+#[derive(Default)]
+pub(crate) struct Machine {
+    pub(crate) entry: Entry,
+    pub(crate) listed: bool,
+    pub(crate) open: u32,
+    pub(crate) pace: f64, // smoothed logarithm of how much slower than usual its answers are
+    pub(crate) faults: f64,
+    pub(crate) ejected_until: Micros,
+    pub(crate) ejection: Micros,
+    pub(crate) cold_work: VecDeque<(Micros, f64)>, // sent to it within the fall window, while it may be cold
+}
+
+/// One outcome on a build's record.
+#[derive(Clone, Copy)]
+pub(crate) struct Seen {
+    pub(crate) at: Micros,
+    pub(crate) failed: bool,
+    pub(crate) timed_out: bool, // blames the build only beside a living earlier one
+    pub(crate) slower: Option<f64>, // logarithm over the usual of its class and kind, where comparable
+    pub(crate) machine: MachineId,
+}
+
+/// What a class, or the times, of a build come to.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Mark {
+    Unjudged,
+    Pass,
+    Fail { lone: bool },
+}
+
+/// Where a record stands.
+#[derive(PartialEq)]
+pub(crate) enum State {
+    Soaking,
+    Failed, // sustained: voted back until the platform says that it goes
+}
+
+/// What this instance knows of one build (RFC-0005's record, one per build on trial).
+pub(crate) struct Record {
+    pub(crate) state: State,
+    pub(crate) born: Micros,
+    pub(crate) last_seen: Micros,
+    pub(crate) seen: Vec<VecDeque<Seen>>,
+    pub(crate) marks: Vec<Mark>, // one a class, and one more for the build's times
+    pub(crate) failing_since: Vec<Option<Micros>>,
+    pub(crate) attempts: Window,
+}
+
+/// One sending of a request.
+pub(crate) struct Attempt {
+    pub(crate) machine: MachineId,
+    pub(crate) build: Build,
+    pub(crate) sent: Micros,
+    pub(crate) cold: bool,
+    pub(crate) outcome: Option<Outcome>,
+}
+
+impl Attempt {
+    pub(crate) fn open(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.outcome.is_none_or(Outcome::may_have_run)
+    }
+}
+
+/// Where a request stands.
+#[derive(PartialEq)]
+pub(crate) enum Life {
+    Open,
+    Waiting, // for a machine that may take it
+    Begun,   // its answer streams and belongs to the client
+    Over,    // remembered until its attempts have ended
+}
+
+/// A request of which something is owed or still out.
+pub(crate) struct Held {
+    pub(crate) request: Request,
+    pub(crate) arrived: Micros,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) life: Life,
+}
+
+/// A vote cast or wished.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) struct Vote {
+    pub(crate) build: Build,
+    pub(crate) stage: usize,
+    pub(crate) verdict: Verdict,
+}
+
+/// Mean of the times, and its standard error.
+pub(crate) fn mean_error(times: &[(MachineId, f64)]) -> (f64, f64) {
+    let n = times.len().max(2) as f64;
+    let mean = times.iter().map(|t| t.1).sum::<f64>() / n;
+    let spread = times.iter().map(|t| (t.1 - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    (mean, (spread / n).sqrt())
+}
