--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 
 // Machines.
 const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and fault share
-const FORGET: f64 = 0.9965; // a pace fades so each tick, by half in 5 s, so that a slow machine is tried again
+const FORGET: f64 = 0.9965; // a pace fades so each tick, by half in 5 s: a slow machine is tried again
 const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
 const EJECT_FIRST: Micros = SECOND; // first ejection, doubled with each in a row ...
 const EJECT_MOST: Micros = 8 * SECOND; // ... up to this
@@ -195,6 +195,7 @@
         } else if (dead || failing) && now >= machine.ejected_until {
             let span = machine.ejection;
             machine.ejected_until = now + span;
+            machine.dead = dead;
             machine.ejection = (span * 2).min(EJECT_MOST);
             machine.faults = EJECT_ABOVE * 0.9; // on the way back one more fault is enough to leave again
             self.log("eject", || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
@@ -490,14 +491,16 @@
         })
     }
 
-    /// All machines that the rules allow for this request, and those of them that health advises against.
-    fn eligible(&mut self, held: &Held) -> (Vec<MachineId>, Vec<MachineId>) {
+    /// All machines that the rules allow for this request: the good ones, those that health advises
+    /// against, and those that could not be reached of late.
+    fn eligible(&mut self, held: &Held) -> [Vec<MachineId>; 3] {
         let (class, work) = (held.request.class, self.work(&held.request));
         let mut exposure: BTreeMap<Build, bool> = BTreeMap::new();
-        let (mut good, mut poor) = (Vec::new(), Vec::new());
+        let [mut good, mut poor, mut dead] = [const { Vec::new() }; 3];
         let listed = self.machines.iter().filter(|(_, m)| m.listed);
-        let listed: Vec<_> = listed.map(|(id, m)| (*id, m.entry, m.ejected_until)).collect();
-        for (id, entry, ejected_until) in listed {
+        let listed: Vec<_> =
+            listed.map(|(id, m)| (*id, m.entry, self.now < m.ejected_until, m.dead)).collect();
+        for (id, entry, ejected, unreached) in listed {
             let build = entry.build;
             if !*exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class))
                 || !self.key_allows(held.request.key, build)
@@ -507,10 +510,13 @@
                 continue;
             }
             let tried = held.attempts.iter().any(|a| a.machine == id);
-            let advised = !tried && self.now >= ejected_until && !self.shunned(build, class);
-            if advised { good.push(id) } else { poor.push(id) }
+            match tried || ejected || self.shunned(build, class) {
+                false => good.push(id),
+                true if ejected && unreached => dead.push(id),
+                true => poor.push(id),
+            }
         }
-        (good, poor)
+        [good, poor, dead]
     }
 
     /// Builds that failed are used only for want of others; an effect stays away once its class fails.
@@ -523,12 +529,16 @@
     // ---- Server choice ----
 
     /// Power of two choices by requests in flight, for size, pace and zone. Machines that health advises
-    /// against are left out unless that would leave less than half: then the trouble is not theirs.
+    /// against are left out unless that would leave less than half: then the trouble is not theirs. Those
+    /// that can't be reached are used only for want of any other: no trouble makes them able to serve.
     fn choose(&mut self, held: &Held) -> Option<MachineId> {
-        let (mut good, poor) = self.eligible(held);
+        let [mut good, poor, dead] = self.eligible(held);
         if good.len() < poor.len() {
             good.extend(poor);
         }
+        if good.is_empty() {
+            good = dead;
+        }
         if good.is_empty() {
             return None;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,7 @@
     pub(crate) faults: f64,
     pub(crate) ejected_until: Micros,
     pub(crate) ejection: Micros,
+    pub(crate) dead: bool, // the last ejection was for want of an answer
     pub(crate) cold_work: VecDeque<(Micros, f64)>, // sent to it within the fall window, while it may be cold
 }
 
