--- a/src/brain.rs
+++ b/src/brain.rs
@@ -246,20 +246,26 @@
 
     /// Marks a class by the share of its failures over the last outcomes, against the earlier build's.
     fn judge_class(&self, record: &Record, earlier: Option<&Record>, class: usize) -> Mark {
-        // Without a living earlier build, time-outs may as well be a trouble of all machines.
+        // Danger: time-outs come from load, a stall or a short wait as easily as from a build, so they count
+        // only as far as they are surely above chance, and only beside a living earlier build. Harm: a
+        // build that makes few requests hang is found later, by its times or not at all.
         let alive = earlier.is_some_and(|e| e.last_seen + ALIVE > self.now);
-        let failed = |s: &Seen| f64::from(u8::from(s.failed && (alive || !s.timed_out)));
-        let share = |seen: &VecDeque<Seen>, most| {
+        let late = |s: &Seen| f64::from(u8::from(s.timed_out && alive));
+        let wrong = |s: &Seen| f64::from(u8::from(s.failed && !s.timed_out));
+        let share = |seen: &VecDeque<Seen>, most: usize, count: &dyn Fn(&Seen) -> f64| {
             let n = seen.len().clamp(1, most) as f64;
-            seen.iter().rev().take(most).map(failed).sum::<f64>() / n
+            (seen.iter().rev().take(most).map(count).sum::<f64>() / n, n)
         };
-        let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT));
+        let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, &|s| wrong(s) + late(s)).0);
         if record.seen[class].len() < JUDGED_FROM {
             return Mark::Unjudged;
         }
-        if share(&record.seen[class], RECENT) <= before + MARGIN {
+        let (errors, n) = share(&record.seen[class], RECENT, &wrong);
+        let (lates, _) = share(&record.seen[class], RECENT, &late);
+        if errors + (lates - SURELY * (lates / n).sqrt()).max(0.0) <= before + MARGIN {
             return Mark::Pass;
         }
+        let failed = |s: &Seen| wrong(s) + late(s);
         breadth(record.seen[class].iter().map(|s| (s.machine, failed(s))), 0.0)
     }
 
