--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,7 @@
 const FULL_TIME: f64 = 0.45; // mean time over aim above which fewer requests are let in: queues build up
 const FREE_TIME: f64 = 0.4; // and below which more are
 const CHEAP_ROOM: f64 = 0.7; // part of the limit open to requests worth nothing; the dearest use all
+const COME_BACK: f64 = 0.2; // share of the aim after which a refused client should try again, on average
 const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
 const LOG_GAP: Micros = 5 * SECOND; // shortest gap between log lines of one kind
 
@@ -693,7 +694,10 @@
             Effect::Once => !ran,
             Effect::Keyed { scope, .. } => !ran || scope == Scope::All,
         };
-        let come_back = self.config.retry_advice.map(|most| most / 2 + self.rng.u64(0..=most / 2));
+        // Soon enough that the answer is still worth something, and not all at once.
+        let soon = (self.config.classes[held.request.class.0].aim as f64 * COME_BACK * (0.5 + self.rng.f64()))
+            as Micros;
+        let come_back = self.config.retry_advice.map(|most| soon.min(most));
         self.out.push(if refusable { Action::Refuse { id, come_back } } else { Action::Fail(id) });
         self.end(id);
     }
