--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,8 +42,8 @@
 // Requests.
 const RETRY_EARNED: f64 = 0.1; // retries earned by a request: a retry storm stays a tenth of the traffic
 const RETRY_SAVED: f64 = 10.0; // most retries saved up
-const FULL_TIME: f64 = 0.45; // mean time over aim above which fewer requests are let in: queues build up
-const FREE_TIME: f64 = 0.4; // and below which more are
+const FULL_TIME: f64 = 0.6; // mean time over aim above which fewer requests are let in: queues build up
+const FREE_TIME: f64 = 0.5; // and below which more are
 const CHEAP_ROOM: f64 = 0.7; // part of the limit open to requests worth nothing; the dearest use all
 const COME_BACK: f64 = 0.2; // share of the aim after which a refused client should try again, on average
 const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
