--- a/src/brain.rs
+++ b/src/brain.rs
@@ -735,10 +735,10 @@
         }
         if self.time_used > FULL_TIME {
             let least = 4.0f64.max(2.0 * self.machines.len() as f64 / f64::from(self.config.fronts));
-            self.limit = (self.limit.min(f64::from(self.open)) * 0.97).max(least);
+            self.limit = (self.limit.min(f64::from(self.open)) * 0.99).max(least);
             self.log("limit", || "answers come late: fewer requests let in".into());
         } else if self.time_used < FREE_TIME {
-            self.limit = (self.limit * 1.015).min(1e6);
+            self.limit = (self.limit * 1.01).min(1e6);
         }
         while self.records.len() > 4 {
             self.records.pop_first();
