--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,6 +25,11 @@
 const SURELY: f64 = 2.5; // standard errors taken off a difference of times before it counts
 const LONE: u64 = 3; // evidence of one machine alone must stay failed this many times as long
 
+const SLOT: Micros = 6 * SECOND; // a suspected build is withheld in every second slot of its stage
+const SETTLE: Micros = 3000 * MS; // start of a slot that is left out: work of the slot before still runs
+const RAISED: f64 = 0.2; // logarithm by which the fleet's times must surely rise to suspect the build
+const IN_STEP: f64 = 0.1; // logarithm by which they must surely follow the slots to blame it
+
 // Votes.
 const VOTE_AGAIN: Micros = 250 * MS; // first wait after a vote that did not count, doubled each time ...
 const VOTE_PATIENCE: Micros = 2 * SECOND; // ... up to this: all instances share the platform's rate
@@ -62,6 +67,7 @@
     ask_again: Option<Micros>,
     ask_wait: Micros,
     news: Option<Stage>,
+    stage_began: Micros,
     recount_at: Option<Micros>,
     records: BTreeMap<Build, Record>,
     requests: Window,
@@ -220,9 +226,12 @@
             state: State::Soaking,
             born,
             last_seen: 0,
+            suspected: None,
+            cleared: None,
+            slots: [Vec::new(), Vec::new()],
             seen: vec![VecDeque::new(); classes],
-            marks: vec![Mark::Unjudged; classes + 1],
-            failing_since: vec![None; classes + 1],
+            marks: vec![Mark::Unjudged; classes + 2],
+            failing_since: vec![None; classes + 2],
             attempts: Window::new(span, classes),
         })
     }
@@ -270,15 +279,16 @@
         breadth(record.seen[class].iter().map(|s| (s.machine, failed(s))), 0.0)
     }
 
+    fn times(&self, record: &Record) -> Vec<(MachineId, f64)> {
+        let fresh = record.seen.iter().flatten().filter(|s| s.at + ALIVE > self.now);
+        fresh.filter_map(|s| Some((s.machine, s.slower?))).collect()
+    }
+
     /// Marks a build's times, all classes together: each outcome as its logarithm over the usual of its
     /// class and kind, cold machines left out, beside the earlier build's of the same moments.
     /// Danger: a build that is only slow passes by its errors until it takes the fleet down.
     fn judge_times(&self, record: &Record, earlier: Option<&Record>) -> Mark {
-        let times = |r: &Record| -> Vec<(MachineId, f64)> {
-            let fresh = r.seen.iter().flatten().filter(|s| s.at + ALIVE > self.now);
-            fresh.filter_map(|s| Some((s.machine, s.slower?))).collect()
-        };
-        let (new, old) = (times(record), earlier.map_or(Vec::new(), times));
+        let (new, old) = (self.times(record), earlier.map_or(Vec::new(), |e| self.times(e)));
         if new.len() < JUDGED_FROM || old.len() < JUDGED_FROM {
             return Mark::Unjudged;
         }
@@ -289,18 +299,66 @@
         breadth(new.into_iter(), old_mean + SLOWER)
     }
 
+    /// The slot of a stage that a moment lies in, 1 where a suspected build is withheld. All fronts are told
+    /// when the stage began, so that they withhold together without a word to each other.
+    fn slot(&self, at: Micros) -> (usize, Micros) {
+        let into = at.saturating_sub(self.stage_began);
+        ((into / SLOT % 2) as usize, into % SLOT)
+    }
+
+    /// Marks a build by what it does to the machines of the earlier one. Once these are surely slower than
+    /// before the trial, the build is withheld in every second slot: times that rise and fall with the slots
+    /// are its doing, others a trouble of the fleet, a burst or a neighbour, and clear it for this stage.
+    /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: two slots
+    /// of hold on a good build, and a trouble that comes and goes in step with the slots.
+    fn judge_fleet(&mut self, stage: Stage) -> Mark {
+        let (now, build) = (self.now, stage.build);
+        let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial) else {
+            return Mark::Unjudged;
+        };
+        let Some(since) = record.suspected else {
+            let times = self.earlier(build).map_or(Vec::new(), |e| self.times(e));
+            let (mean, error) = mean_error(&times);
+            let raised = times.len() >= JUDGED_FROM && mean - SURELY * error > RAISED;
+            if raised && record.cleared != Some(stage.stage) {
+                let record = self.record(build);
+                (record.suspected, record.slots) = (Some(now), [Vec::new(), Vec::new()]);
+                self.log("suspect", || {
+                    format!("all machines slower: withholding build {} at times", build.0)
+                });
+            }
+            return Mark::Unjudged;
+        };
+        let [(on, on_error), (off, off_error)] = [0, 1].map(|i| mean_error(&record.slots[i]));
+        let few = record.slots.iter().any(|s| s.len() < JUDGED_FROM);
+        if !few && on - off - SURELY * on_error.hypot(off_error) > IN_STEP {
+            return Mark::Fail { lone: false };
+        }
+        if now < since + 2 * SLOT || now < since + 6 * SLOT && !few && on - off > IN_STEP {
+            return Mark::Unjudged;
+        }
+        let n = record.slots[0].len();
+        let record = self.record(build);
+        (record.suspected, record.cleared) = (None, Some(stage.stage));
+        self.log("cleared", || {
+            format!("build {} cleared: times {on:.2} with it ({n}), {off:.2} without", build.0)
+        });
+        Mark::Pass
+    }
+
     /// Brings the record of the newest build up to date: marks, failure timers, state.
     fn judge(&mut self) {
         let Some(news) = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else {
             return;
         };
         let (now, build, classes) = (self.now, news.build, self.config.classes.len());
+        let fleet = self.judge_fleet(news);
         let Some(record) = self.records.get(&build).filter(|r| r.state == State::Soaking) else { return };
         let earlier = self.earlier(build);
         let mut marks: Vec<Mark> = (0..classes).map(|c| self.judge_class(record, earlier, c)).collect();
         // One class failing where another passes is the build, not the machine.
         let passes = marks.contains(&Mark::Pass);
-        marks.push(self.judge_times(record, earlier));
+        marks.extend([self.judge_times(record, earlier), fleet]);
         let record = self.record(build);
         let mut sustained = None;
         for (i, mark) in marks.into_iter().enumerate() {
@@ -333,6 +391,9 @@
     fn stage(&mut self, stage: Stage) {
         let before = self.news.replace(stage);
         self.record(stage.build);
+        if before.is_none_or(|b| (b.build, b.stage, b.phase) != (stage.build, stage.stage, stage.phase)) {
+            self.stage_began = self.now.saturating_sub(stage.age);
+        }
         let Some(before) = before.filter(|b| b.build == stage.build) else {
             self.recount_at = None;
             return self.log("news", || format!("build {} offered, cap {}", stage.build.0, stage.cap));
@@ -359,6 +420,9 @@
         if news.phase == Phase::Released {
             return None;
         }
+        if record.suspected.is_some() {
+            return if timer { vote(Verdict::Hold) } else { None };
+        }
         if let Some(since) = record.failing_since.iter().flatten().min() {
             // Past the sustained time a failure still open rests on one machine: the clock goes on, so
             // that the next stage brings another machine to tell.
@@ -529,7 +593,11 @@
     /// Builds that failed are used only for want of others; an effect stays away once its class fails.
     fn shunned(&self, build: Build, class: ClassId) -> bool {
         let effect = self.config.classes[class.0].effect != Effect::Safe;
-        let fails = |r: &Record| r.state == State::Failed || effect && r.failing_since[class.0].is_some();
+        let withheld = self.slot(self.now).0 == 1;
+        let fails = |r: &Record| {
+            let failing = effect && r.failing_since[class.0].is_some();
+            r.state == State::Failed || failing || withheld && r.suspected.is_some()
+        };
         self.records.get(&build).is_some_and(fails)
     }
 
@@ -659,10 +727,12 @@
         let used = if outcome == Outcome::Full { 1.0 } else { used.min(2.0) };
         self.time_used += (used - self.time_used) * 0.05;
         let value = (lag.max(1) as f64 / request.hint.map_or(1.0, |h| h.max(1) as f64)).ln();
+        // What is usual is learnt before a trial, lest what the trial does to the fleet becomes usual.
+        let trial = self.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
         let teaches = outcome == Outcome::Served && !cold && !self.on_trial(build);
         let [of_all, of_kind] = [None, Some(kind)].map(|kind| {
             let usual = self.usual.entry((request.class, kind)).or_insert((value, 0));
-            if teaches {
+            if teaches && (trial.is_none() || usual.1 < 100) {
                 usual.1 += 1;
                 usual.0 += (value - usual.0) / f64::from(usual.1.min(200));
             }
@@ -676,6 +746,12 @@
             let slower = of_kind.filter(|_| !cold && outcome != Outcome::Error);
             let seen = Seen { at: self.now, failed, timed_out, slower, machine };
             self.put_on_record(request.class, build, seen, sent);
+            let (slot, into) = self.slot(sent);
+            if let Some(record) = trial.filter(|t| build < *t).and_then(|t| self.records.get_mut(&t))
+                && let (true, Some(slower)) = (record.suspected.is_some() && into >= SETTLE, slower)
+            {
+                record.slots[slot].push((machine, slower));
+            }
             self.judge();
         }
         if let (Outcome::Served, true, Some(key)) = (outcome, self.config.rollout.one_way, request.key)
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,8 +80,11 @@
     pub(crate) state: State,
     pub(crate) born: Micros,
     pub(crate) last_seen: Micros,
+    pub(crate) suspected: Option<Micros>, // of slowing all machines, since when
+    pub(crate) cleared: Option<usize>,    // of that, at this stage
+    pub(crate) slots: [Vec<(MachineId, f64)>; 2], // the earlier build's times while it is sent to, and not
     pub(crate) seen: Vec<VecDeque<Seen>>,
-    pub(crate) marks: Vec<Mark>, // one a class, and one more for the build's times
+    pub(crate) marks: Vec<Mark>, // one a class, then the build's times, then what it does to the fleet
     pub(crate) failing_since: Vec<Option<Micros>>,
     pub(crate) attempts: Window,
 }
