--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! The mechanism is that of docs/design.md: a fresh record per build on trial, judged by this
 //! instance's own outcomes; votes held while a failure runs, back once it is sustained.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use fastrand::Rng;
 
@@ -22,13 +22,14 @@
 const KEPT: usize = 60; // outcomes kept a class, for the earlier build's share and for breadth
 const ALIVE: Micros = 4 * SECOND; // the earlier build can be compared with for so long after an outcome
 const SLOWER: f64 = 0.3; // logarithm by which a build must surely be slower to fail by its times: 1.35
-const SURELY: f64 = 2.5; // standard errors taken off a difference of times before it counts
+const SURELY: f64 = 2.5; // standard errors taken off a difference before it counts
+const SPREAD: f64 = 0.2; // logarithm by which good machines of a kind differ, by speed and by others' load
 const LONE: u64 = 3; // evidence of one machine alone must stay failed this many times as long
 
-const SLOT: Micros = 6 * SECOND; // a suspected build is withheld in every second slot of its stage
-const SETTLE: Micros = 3000 * MS; // start of a slot that is left out: work of the slot before still runs
-const RAISED: f64 = 0.2; // logarithm by which the fleet's times must surely rise to suspect the build
-const IN_STEP: f64 = 0.1; // logarithm by which they must surely follow the slots to blame it
+const SLOT: Micros = 4 * SECOND; // a suspected build is withheld in odd slots of its stage
+const SETTLE: Micros = 1_500 * MS; // start of a slot that is left out: the slot before still tells
+const RAISED: f64 = 0.35; // logarithm by which the fleet's times must surely rise to suspect the build
+const IN_STEP: f64 = 0.33; // share of that rise that must go when it is withheld, and come back with it
 
 // Votes.
 const VOTE_AGAIN: Micros = 250 * MS; // first wait after a vote that did not count, doubled each time ...
@@ -228,7 +229,7 @@
             last_seen: 0,
             suspected: None,
             cleared: None,
-            slots: [Vec::new(), Vec::new()],
+            slots: BTreeMap::new(),
             seen: vec![VecDeque::new(); classes],
             marks: vec![Mark::Unjudged; classes + 2],
             failing_since: vec![None; classes + 2],
@@ -293,56 +294,61 @@
             return Mark::Unjudged;
         }
         let ((mean, error), (old_mean, old_error)) = (mean_error(&new), mean_error(&old));
-        if mean - old_mean - SURELY * error.hypot(old_error) <= SLOWER {
+        // However many outcomes, a build's few machines may be slow ones.
+        let count =
+            |times: &[(MachineId, f64)]| times.iter().map(|t| t.0).collect::<BTreeSet<_>>().len() as f64;
+        let spread = SPREAD * (1.0 / count(&new) + 1.0 / count(&old)).sqrt();
+        if mean - old_mean - SURELY * error.hypot(old_error).hypot(spread) <= SLOWER {
             return Mark::Pass;
         }
         breadth(new.into_iter(), old_mean + SLOWER)
     }
 
-    /// The slot of a stage that a moment lies in, 1 where a suspected build is withheld. All fronts are told
-    /// when the stage began, so that they withhold together without a word to each other.
-    fn slot(&self, at: Micros) -> (usize, Micros) {
+    /// The slot of a stage that a moment lies in, and how far. All fronts are told when the stage began, so
+    /// that they withhold a suspected build in the same (odd) slots without a word to each other.
+    fn slot(&self, at: Micros) -> (u64, Micros) {
         let into = at.saturating_sub(self.stage_began);
-        ((into / SLOT % 2) as usize, into % SLOT)
+        (into / SLOT, into % SLOT)
     }
 
-    /// Marks a build by what it does to the machines of the earlier one. Once these are surely slower than
-    /// before the trial, the build is withheld in every second slot: times that rise and fall with the slots
-    /// are its doing, others a trouble of the fleet, a burst or a neighbour, and clear it for this stage.
-    /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: two slots
-    /// of hold on a good build, and a trouble that comes and goes in step with the slots.
+    /// Marks a build by what it does to the machines of the earlier one. Once these are surely much slower
+    /// than before the trial, the clock is held and the build withheld for a slot: a rise that goes, and
+    /// comes back with the build, is its doing; any other is a trouble of the fleet, a burst or a neighbour.
+    /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: a slot or
+    /// two of hold on a good build, and a trouble that comes and goes in step with the slots.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build) = (self.now, stage.build);
         let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial) else {
             return Mark::Unjudged;
         };
-        let Some(since) = record.suspected else {
+        let Some((since, raised)) = record.suspected else {
             let times = self.earlier(build).map_or(Vec::new(), |e| self.times(e));
             let (mean, error) = mean_error(&times);
-            let raised = times.len() >= JUDGED_FROM && mean - SURELY * error > RAISED;
-            if raised && record.cleared != Some(stage.stage) {
+            if times.len() >= RECENT && mean - SURELY * error > RAISED && record.cleared != Some(stage.stage)
+            {
                 let record = self.record(build);
-                (record.suspected, record.slots) = (Some(now), [Vec::new(), Vec::new()]);
+                (record.suspected, record.slots) = (Some((now, mean)), BTreeMap::new());
                 self.log("suspect", || {
-                    format!("all machines slower: withholding build {} at times", build.0)
+                    format!("all machines slower: withholding build {} for a while", build.0)
                 });
             }
             return Mark::Unjudged;
         };
-        let [(on, on_error), (off, off_error)] = [0, 1].map(|i| mean_error(&record.slots[i]));
-        let few = record.slots.iter().any(|s| s.len() < JUDGED_FROM);
-        if !few && on - off - SURELY * on_error.hypot(off_error) > IN_STEP {
-            return Mark::Fail { lone: false };
-        }
-        if now < since + 2 * SLOT || now < since + 6 * SLOT && !few && on - off > IN_STEP {
+        let first = self.slot(since).0;
+        let (off, current) = (first + 1 + first % 2, self.slot(now).0);
+        let level = |slot| record.slots.get(&slot).filter(|s| s.len() >= RECENT).map(|s| mean_error(s).0);
+        let raised = level(off - 1).map_or(raised, |l| l.max(raised));
+        let without = level(off).unwrap_or(raised);
+        if current <= off {
             return Mark::Unjudged;
         }
-        let n = record.slots[0].len();
+        if raised - without > IN_STEP * raised && current == off + 1 {
+            let back = level(current).is_some_and(|with| with - without > IN_STEP * raised);
+            return if back { Mark::Fail { lone: false } } else { Mark::Unjudged };
+        }
         let record = self.record(build);
         (record.suspected, record.cleared) = (None, Some(stage.stage));
-        self.log("cleared", || {
-            format!("build {} cleared: times {on:.2} with it ({n}), {off:.2} without", build.0)
-        });
+        self.log("clear", || format!("build {}: times {raised:.2} with, {without:.2} without it", build.0));
         Mark::Pass
     }
 
@@ -393,6 +399,7 @@
         self.record(stage.build);
         if before.is_none_or(|b| (b.build, b.stage, b.phase) != (stage.build, stage.stage, stage.phase)) {
             self.stage_began = self.now.saturating_sub(stage.age);
+            self.record(stage.build).suspected = None; // more traffic, another test
         }
         let Some(before) = before.filter(|b| b.build == stage.build) else {
             self.recount_at = None;
@@ -593,7 +600,7 @@
     /// Builds that failed are used only for want of others; an effect stays away once its class fails.
     fn shunned(&self, build: Build, class: ClassId) -> bool {
         let effect = self.config.classes[class.0].effect != Effect::Safe;
-        let withheld = self.slot(self.now).0 == 1;
+        let withheld = self.slot(self.now).0 % 2 == 1;
         let fails = |r: &Record| {
             let failing = effect && r.failing_since[class.0].is_some();
             r.state == State::Failed || failing || withheld && r.suspected.is_some()
@@ -750,7 +757,7 @@
             if let Some(record) = trial.filter(|t| build < *t).and_then(|t| self.records.get_mut(&t))
                 && let (true, Some(slower)) = (record.suspected.is_some() && into >= SETTLE, slower)
             {
-                record.slots[slot].push((machine, slower));
+                record.slots.entry(slot).or_default().push((machine, slower));
             }
             self.judge();
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The plain data that the decision module keeps: nothing here decides anything.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
 
@@ -80,9 +80,9 @@
     pub(crate) state: State,
     pub(crate) born: Micros,
     pub(crate) last_seen: Micros,
-    pub(crate) suspected: Option<Micros>, // of slowing all machines, since when
-    pub(crate) cleared: Option<usize>,    // of that, at this stage
-    pub(crate) slots: [Vec<(MachineId, f64)>; 2], // the earlier build's times while it is sent to, and not
+    pub(crate) suspected: Option<(Micros, f64)>, // of slowing all machines: since when, by how much
+    pub(crate) cleared: Option<usize>,           // of that, at this stage
+    pub(crate) slots: BTreeMap<u64, Vec<(MachineId, f64)>>, // the earlier build's times while suspected
     pub(crate) seen: Vec<VecDeque<Seen>>,
     pub(crate) marks: Vec<Mark>, // one a class, then the build's times, then what it does to the fleet
     pub(crate) failing_since: Vec<Option<Micros>>,
