Withhold a suspected build at once for 3 s, then let it back for 3 s

Cause: a build that slows all machines in step with its traffic. Danger and harm stand at judge_fleet. It also guards against any build whose cost falls on a dependency that all machines share.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,9 +26,9 @@
 const SPREAD: f64 = 0.2; // logarithm by which good machines of a kind differ, by speed and by others' load
 const LONE: u64 = 3; // evidence of one machine alone must stay failed this many times as long
 
-const SLOT: Micros = 4 * SECOND; // a suspected build is withheld in odd slots of its stage
-const SETTLE: Micros = 1_500 * MS; // start of a slot that is left out: the slot before still tells
-const RAISED: f64 = 0.35; // logarithm by which the fleet's times must surely rise to suspect the build
+const DOSE: f64 = 0.1; // share of the fleet below which a build can't be told by what it does to the rest
+const SETTLE: Micros = 1_500 * MS; // how long the fleet takes to show that a build is withheld, or is back
+const RAISED: f64 = 0.4; // logarithm by which the fleet's times must surely rise to suspect the build
 const IN_STEP: f64 = 0.33; // share of that rise that must go when it is withheld, and come back with it
 
 // Votes.
@@ -68,7 +68,6 @@
     ask_again: Option<Micros>,
     ask_wait: Micros,
     news: Option<Stage>,
-    stage_began: Micros,
     recount_at: Option<Micros>,
     records: BTreeMap<Build, Record>,
     requests: Window,
@@ -229,7 +228,7 @@
             last_seen: 0,
             suspected: None,
             cleared: None,
-            slots: BTreeMap::new(),
+            steps: Default::default(),
             seen: vec![VecDeque::new(); classes],
             marks: vec![Mark::Unjudged; classes + 2],
             failing_since: vec![None; classes + 2],
@@ -304,21 +303,16 @@
         breadth(new.into_iter(), old_mean + SLOWER)
     }
 
-    /// The slot of a stage that a moment lies in, and how far. All fronts are told when the stage began, so
-    /// that they withhold a suspected build in the same (odd) slots without a word to each other.
-    fn slot(&self, at: Micros) -> (u64, Micros) {
-        let into = at.saturating_sub(self.stage_began);
-        (into / SLOT, into % SLOT)
-    }
-
     /// Marks a build by what it does to the machines of the earlier one. Once these are surely much slower
-    /// than before the trial, the clock is held and the build withheld for a slot: a rise that goes, and
-    /// comes back with the build, is its doing; any other is a trouble of the fleet, a burst or a neighbour.
-    /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: a slot or
-    /// two of hold on a good build, and a trouble that comes and goes in step with the slots.
+    /// than before the trial, the clock is held and the build withheld for the sustained time: a rise that
+    /// goes, and comes back with the build, is its doing; any other is a trouble of the fleet. All fronts
+    /// see the rise at about the same time, so that they withhold together without a word to each other.
+    /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: a hold of
+    /// 3 s on a good build, and a trouble that comes and goes within seconds.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build) = (self.now, stage.build);
-        let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial) else {
+        let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| *s >= DOSE);
+        let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial && dose) else {
             return Mark::Unjudged;
         };
         let Some((since, raised)) = record.suspected else {
@@ -327,28 +321,28 @@
             if times.len() >= RECENT && mean - SURELY * error > RAISED && record.cleared != Some(stage.stage)
             {
                 let record = self.record(build);
-                (record.suspected, record.slots) = (Some((now, mean)), BTreeMap::new());
-                self.log("suspect", || {
-                    format!("all machines slower: withholding build {} for a while", build.0)
-                });
+                (record.suspected, record.steps) = (Some((now, mean)), Default::default());
+                self.log("suspect", || format!("all machines slower: withholding build {} for 3 s", build.0));
             }
             return Mark::Unjudged;
         };
-        let first = self.slot(since).0;
-        let (off, current) = (first + 1 + first % 2, self.slot(now).0);
-        let level = |slot| record.slots.get(&slot).filter(|s| s.len() >= RECENT).map(|s| mean_error(s).0);
-        let raised = level(off - 1).map_or(raised, |l| l.max(raised));
-        let without = level(off).unwrap_or(raised);
-        if current <= off {
+        let [without, with] = [0, 1].map(|i| {
+            let step: &Vec<_> = &record.steps[i];
+            (step.len() >= RECENT).then(|| mean_error(step).0)
+        });
+        let (age, least) = (now - since, IN_STEP * raised);
+        if age < SUSTAINED {
             return Mark::Unjudged;
         }
-        if raised - without > IN_STEP * raised && current == off + 1 {
-            let back = level(current).is_some_and(|with| with - without > IN_STEP * raised);
+        if let Some(without) = without.filter(|w| raised - w > least && age < 2 * SUSTAINED) {
+            let back = with.is_some_and(|with| with - without > least);
             return if back { Mark::Fail { lone: false } } else { Mark::Unjudged };
         }
         let record = self.record(build);
         (record.suspected, record.cleared) = (None, Some(stage.stage));
-        self.log("clear", || format!("build {}: times {raised:.2} with, {without:.2} without it", build.0));
+        self.log("clear", || {
+            format!("build {} cleared: {raised:.2} with it, {without:.2?} without", build.0)
+        });
         Mark::Pass
     }
 
@@ -373,7 +367,9 @@
                 record.failing_since[i] = None;
                 continue;
             };
-            let since = *record.failing_since[i].get_or_insert(now);
+            // What the fleet showed has been running since the build was suspected.
+            let began = record.suspected.filter(|_| i > classes).map_or(now, |s| s.0);
+            let since = *record.failing_since[i].get_or_insert(began);
             let doubted = lone && !(i < classes && passes);
             if now - since >= if doubted { LONE * SUSTAINED } else { SUSTAINED } {
                 sustained = Some(i);
@@ -381,7 +377,7 @@
         }
         if let Some(i) = sustained {
             record.state = State::Failed;
-            let what = self.config.classes.get(i).map_or("times", |c| c.name.as_str()).to_owned();
+            let what = self.config.classes.get(i).map_or("its times", |c| c.name.as_str()).to_owned();
             self.log("verdict", || format!("build {}: {what} stayed failed, voting back", build.0));
         }
     }
@@ -397,10 +393,6 @@
     fn stage(&mut self, stage: Stage) {
         let before = self.news.replace(stage);
         self.record(stage.build);
-        if before.is_none_or(|b| (b.build, b.stage, b.phase) != (stage.build, stage.stage, stage.phase)) {
-            self.stage_began = self.now.saturating_sub(stage.age);
-            self.record(stage.build).suspected = None; // more traffic, another test
-        }
         let Some(before) = before.filter(|b| b.build == stage.build) else {
             self.recount_at = None;
             return self.log("news", || format!("build {} offered, cap {}", stage.build.0, stage.cap));
@@ -600,10 +592,11 @@
     /// Builds that failed are used only for want of others; an effect stays away once its class fails.
     fn shunned(&self, build: Build, class: ClassId) -> bool {
         let effect = self.config.classes[class.0].effect != Effect::Safe;
-        let withheld = self.slot(self.now).0 % 2 == 1;
         let fails = |r: &Record| {
             let failing = effect && r.failing_since[class.0].is_some();
-            r.state == State::Failed || failing || withheld && r.suspected.is_some()
+            r.state == State::Failed
+                || failing
+                || r.suspected.is_some_and(|(since, _)| self.now < since + SUSTAINED)
         };
         self.records.get(&build).is_some_and(fails)
     }
@@ -753,11 +746,11 @@
             let slower = of_kind.filter(|_| !cold && outcome != Outcome::Error);
             let seen = Seen { at: self.now, failed, timed_out, slower, machine };
             self.put_on_record(request.class, build, seen, sent);
-            let (slot, into) = self.slot(sent);
             if let Some(record) = trial.filter(|t| build < *t).and_then(|t| self.records.get_mut(&t))
-                && let (true, Some(slower)) = (record.suspected.is_some() && into >= SETTLE, slower)
+                && let (Some((since, _)), Some(slower)) = (record.suspected, slower)
+                && sent.saturating_sub(since) % SUSTAINED >= SETTLE
             {
-                record.slots.entry(slot).or_default().push((machine, slower));
+                record.steps[((sent - since) / SUSTAINED).min(1) as usize].push((machine, slower));
             }
             self.judge();
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The plain data that the decision module keeps: nothing here decides anything.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 use crate::interface::*;
 
@@ -82,7 +82,7 @@
     pub(crate) last_seen: Micros,
     pub(crate) suspected: Option<(Micros, f64)>, // of slowing all machines: since when, by how much
     pub(crate) cleared: Option<usize>,           // of that, at this stage
-    pub(crate) slots: BTreeMap<u64, Vec<(MachineId, f64)>>, // the earlier build's times while suspected
+    pub(crate) steps: [Vec<(MachineId, f64)>; 2], // the earlier build's times while it is withheld, and after
     pub(crate) seen: Vec<VecDeque<Seen>>,
     pub(crate) marks: Vec<Mark>, // one a class, then the build's times, then what it does to the fleet
     pub(crate) failing_since: Vec<Option<Micros>>,
