--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! The mechanism is that of docs/design.md: a fresh record per build on trial, judged by this
 //! instance's own outcomes; votes held while a failure runs, back once it is sustained.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use fastrand::Rng;
 
@@ -36,6 +36,8 @@
 const VOTE_PATIENCE: Micros = 2 * SECOND; // ... up to this: all instances share the platform's rate
 
 // Machines.
+const ASK_FIRST: Micros = SECOND; // mean wait before the fleet list is asked for again, doubled each time ...
+const ASK_MOST: Micros = 4 * SECOND; // ... up to this: one registry serves all instances
 const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and fault share
 const FORGET: f64 = 0.9965; // a pace fades so each tick, by half in 5 s: a slow machine is tried again
 const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
@@ -64,8 +66,7 @@
     out: Vec<Action>,
     started: bool,
     machines: BTreeMap<MachineId, Machine>,
-    asked: Micros,
-    ask_again: Option<Micros>,
+    ask_at: Option<Micros>,
     ask_wait: Micros,
     news: Option<Stage>,
     recount_at: Option<Micros>,
@@ -94,7 +95,7 @@
         let span = config.rollout.window.saturating_sub(config.resolution);
         Brain {
             rng: Rng::with_seed(seed),
-            ask_wait: SECOND,
+            ask_wait: ASK_FIRST,
             requests: Window::new(span, config.classes.len()),
             vote_wait: VOTE_AGAIN,
             retries: RETRY_SAVED,
@@ -111,9 +112,7 @@
         if !self.started {
             self.started = true;
             self.out.push(Action::SetTimer { after: TICK, token: 0 });
-            if self.config.ask_for_fleet {
-                self.ask();
-            }
+            self.ask_at = self.config.ask_for_fleet.then_some(now);
         }
         match event {
             Event::Fleet(news) => self.fleet(news),
@@ -128,7 +127,12 @@
             Event::Timer(_) => self.housekeeping(),
             Event::Stage(stage) => self.stage(stage),
             Event::Voted(ballot, stage) => self.voted(ballot, stage),
-            Event::Flagged { machine, class, age } => self.flagged(machine, class, age),
+            Event::Flagged { machine, class, age } => {
+                let seen = Seen { at: now, outcome: Outcome::Error, slower: None, machine };
+                if let Some(build) = self.machines.get(&machine).map(|m| m.entry.build) {
+                    self.put_on_record(class, build, seen, now.saturating_sub(age));
+                }
+            }
             Event::Tally { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
         out.append(&mut self.out);
@@ -137,21 +141,22 @@
     // ---- Fleet and health view ----
 
     fn fleet(&mut self, news: Fleet) {
-        let entries = match news {
+        let (entries, saved) = match news {
             Fleet::Unreachable => {
-                // The registry serves all instances: ask again, later each time, never in step.
                 let wait = self.ask_wait / 2 + self.rng.u64(0..self.ask_wait);
-                self.ask_again = Some(self.now + wait);
-                self.ask_wait = (self.ask_wait * 2).min(4 * SECOND);
+                self.ask_at = self.config.ask_for_fleet.then_some(self.now + wait);
+                self.ask_wait = (self.ask_wait * 2).min(ASK_MOST);
                 return;
             }
-            Fleet::Changes(entries) => entries,
-            Fleet::Whole { entries, .. } => {
+            Fleet::Changes(entries) => (entries, false),
+            Fleet::Whole { entries, saved } => {
                 self.machines.values_mut().for_each(|m| m.listed = false);
-                entries
+                (entries, saved)
             }
         };
-        self.ask_wait = SECOND;
+        if !saved {
+            (self.ask_at, self.ask_wait) = (None, ASK_FIRST);
+        }
         for entry in entries {
             self.record(entry.build);
             let fresh = || Machine { entry, ejection: EJECT_FIRST, ..Machine::default() };
@@ -166,12 +171,6 @@
         self.machines.retain(|_, m| m.listed || m.open > 0);
     }
 
-    fn ask(&mut self) {
-        self.asked = self.now;
-        self.ask_again = None;
-        self.out.push(Action::Subscribe(true));
-    }
-
     /// How much of its capacity a machine surely has; none: long warm.
     fn warmth(&self, entry: &Entry) -> Option<f64> {
         let risen = self.now.saturating_sub(entry.started?) as f64 / self.config.warm_after.max(1) as f64;
@@ -260,47 +259,39 @@
         // only as far as they are surely above chance, and only beside a living earlier build. Harm: a
         // build that makes few requests hang is found later, by its times or not at all.
         let alive = earlier.is_some_and(|e| e.last_seen + ALIVE > self.now);
-        let late = |s: &Seen| f64::from(u8::from(s.timed_out && alive));
-        let wrong = |s: &Seen| f64::from(u8::from(s.failed && !s.timed_out));
-        let share = |seen: &VecDeque<Seen>, most: usize, count: &dyn Fn(&Seen) -> f64| {
-            let n = seen.len().clamp(1, most) as f64;
-            (seen.iter().rev().take(most).map(count).sum::<f64>() / n, n)
-        };
-        let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, &|s| wrong(s) + late(s)).0);
-        if record.seen[class].len() < JUDGED_FROM {
-            return Mark::Unjudged;
+        let wrong = |s: &Seen| s.outcome == Outcome::Error;
+        let late = |s: &Seen| alive && s.outcome == Outcome::TimedOut;
+        let failed = |s: &Seen| wrong(s) || late(s);
+        let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, failed));
+        let seen = &record.seen[class];
+        let (n, lates) = (seen.len().min(RECENT), share(seen, RECENT, late));
+        let surely = (lates - SURELY * (lates / n as f64).sqrt()).max(0.0);
+        match n >= JUDGED_FROM {
+            false => Mark::Unjudged,
+            true if share(seen, RECENT, wrong) + surely <= before + MARGIN => Mark::Pass,
+            true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
         }
-        let (errors, n) = share(&record.seen[class], RECENT, &wrong);
-        let (lates, _) = share(&record.seen[class], RECENT, &late);
-        if errors + (lates - SURELY * (lates / n).sqrt()).max(0.0) <= before + MARGIN {
-            return Mark::Pass;
-        }
-        let failed = |s: &Seen| wrong(s) + late(s);
-        breadth(record.seen[class].iter().map(|s| (s.machine, failed(s))), 0.0)
     }
 
-    fn times(&self, record: &Record) -> Vec<(MachineId, f64)> {
-        let fresh = record.seen.iter().flatten().filter(|s| s.at + ALIVE > self.now);
-        fresh.filter_map(|s| Some((s.machine, s.slower?))).collect()
+    fn times(&self, record: Option<&Record>) -> Vec<(MachineId, f64)> {
+        let seen = record.into_iter().flat_map(|r| r.seen.iter().flatten());
+        seen.filter(|s| s.at + ALIVE > self.now).filter_map(|s| Some((s.machine, s.slower?))).collect()
     }
 
     /// Marks a build's times, all classes together: each outcome as its logarithm over the usual of its
     /// class and kind, cold machines left out, beside the earlier build's of the same moments.
     /// Danger: a build that is only slow passes by its errors until it takes the fleet down.
     fn judge_times(&self, record: &Record, earlier: Option<&Record>) -> Mark {
-        let (new, old) = (self.times(record), earlier.map_or(Vec::new(), |e| self.times(e)));
-        if new.len() < JUDGED_FROM || old.len() < JUDGED_FROM {
-            return Mark::Unjudged;
-        }
-        let ((mean, error), (old_mean, old_error)) = (mean_error(&new), mean_error(&old));
+        let times = self.times(Some(record));
+        let (new, old) = (Level::of(&times), Level::of(&self.times(earlier)));
         // However many outcomes, a build's few machines may be slow ones.
-        let count =
-            |times: &[(MachineId, f64)]| times.iter().map(|t| t.0).collect::<BTreeSet<_>>().len() as f64;
-        let spread = SPREAD * (1.0 / count(&new) + 1.0 / count(&old)).sqrt();
-        if mean - old_mean - SURELY * error.hypot(old_error).hypot(spread) <= SLOWER {
-            return Mark::Pass;
+        let spread = SPREAD * (1.0 / new.machines + 1.0 / old.machines).sqrt();
+        let error = new.error.hypot(old.error).hypot(spread);
+        match new.count.min(old.count) >= JUDGED_FROM {
+            false => Mark::Unjudged,
+            true if new.mean - old.mean - SURELY * error <= SLOWER => Mark::Pass,
+            true => breadth(times.into_iter(), old.mean + SLOWER),
         }
-        breadth(new.into_iter(), old_mean + SLOWER)
     }
 
     /// Marks a build by what it does to the machines of the earlier one. Once these are surely much slower
@@ -316,20 +307,17 @@
             return Mark::Unjudged;
         };
         let Some((since, raised)) = record.suspected else {
-            let times = self.earlier(build).map_or(Vec::new(), |e| self.times(e));
-            let (mean, error) = mean_error(&times);
-            if times.len() >= RECENT && mean - SURELY * error > RAISED && record.cleared != Some(stage.stage)
-            {
+            let Level { count, mean, error, .. } = Level::of(&self.times(self.earlier(build)));
+            let raised = count >= RECENT && mean - SURELY * error > RAISED;
+            if raised && record.cleared != Some(stage.stage) {
                 let record = self.record(build);
                 (record.suspected, record.steps) = (Some((now, mean)), Default::default());
                 self.log("suspect", || format!("all machines slower: withholding build {} for 3 s", build.0));
             }
             return Mark::Unjudged;
         };
-        let [without, with] = [0, 1].map(|i| {
-            let step: &Vec<_> = &record.steps[i];
-            (step.len() >= RECENT).then(|| mean_error(step).0)
-        });
+        let [without, with] =
+            [0, 1].map(|i| Some(Level::of(&record.steps[i])).filter(|l| l.count >= RECENT).map(|l| l.mean));
         let (age, least) = (now - since, IN_STEP * raised);
         if age < SUSTAINED {
             return Mark::Unjudged;
@@ -382,12 +370,6 @@
         }
     }
 
-    fn flagged(&mut self, machine: MachineId, class: ClassId, age: Micros) {
-        let Some(build) = self.machines.get(&machine).map(|m| m.entry.build) else { return };
-        let seen = Seen { at: self.now, failed: true, timed_out: false, slower: None, machine };
-        self.put_on_record(class, build, seen, self.now.saturating_sub(age));
-    }
-
     // ---- Voting ----
 
     fn stage(&mut self, stage: Stage) {
@@ -742,9 +724,8 @@
         let timed_out = outcome == Outcome::TimedOut;
         // A cold machine is slow whatever it runs: its time-outs say nothing of the build.
         if matches!(outcome, Outcome::Served | Outcome::Error) || timed_out && !cold {
-            let failed = outcome != Outcome::Served;
             let slower = of_kind.filter(|_| !cold && outcome != Outcome::Error);
-            let seen = Seen { at: self.now, failed, timed_out, slower, machine };
+            let seen = Seen { at: self.now, outcome, slower, machine };
             self.put_on_record(request.class, build, seen, sent);
             if let Some(record) = trial.filter(|t| build < *t).and_then(|t| self.records.get_mut(&t))
                 && let (Some((since, _)), Some(slower)) = (record.suspected, slower)
@@ -803,11 +784,9 @@
                 self.place(id);
             }
         }
-        if self.config.ask_for_fleet {
-            let silent = self.machines.is_empty() && self.now > self.asked + 4 * SECOND;
-            if self.ask_again.map_or(silent, |at| self.now >= at) {
-                self.ask();
-            }
+        if self.ask_at.is_some_and(|at| self.now >= at) {
+            self.ask_at = Some(self.now + 2 * ASK_MOST); // lest the answer is lost
+            self.out.push(Action::Subscribe(true));
         }
         if self.time_used > FULL_TIME {
             let least = 4.0f64.max(2.0 * self.machines.len() as f64 / f64::from(self.config.fronts));
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The plain data that the decision module keeps: nothing here decides anything.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::interface::*;
 
@@ -54,8 +54,7 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Seen {
     pub(crate) at: Micros,
-    pub(crate) failed: bool,
-    pub(crate) timed_out: bool, // blames the build only beside a living earlier one
+    pub(crate) outcome: Outcome,
     pub(crate) slower: Option<f64>, // logarithm over the usual of its class and kind, where comparable
     pub(crate) machine: MachineId,
 }
@@ -133,10 +132,27 @@
     pub(crate) verdict: Verdict,
 }
 
-/// Mean of the times, and its standard error.
-pub(crate) fn mean_error(times: &[(MachineId, f64)]) -> (f64, f64) {
-    let n = times.len().max(2) as f64;
-    let mean = times.iter().map(|t| t.1).sum::<f64>() / n;
-    let spread = times.iter().map(|t| (t.1 - mean).powi(2)).sum::<f64>() / (n - 1.0);
-    (mean, (spread / n).sqrt())
+/// What a number of values come to: how many there are and from how many machines, their mean and its error.
+#[derive(Clone, Copy)]
+pub(crate) struct Level {
+    pub(crate) count: usize,
+    pub(crate) machines: f64,
+    pub(crate) mean: f64,
+    pub(crate) error: f64,
+}
+
+impl Level {
+    pub(crate) fn of(values: &[(MachineId, f64)]) -> Self {
+        let n = values.len().max(2) as f64;
+        let mean = values.iter().map(|v| v.1).sum::<f64>() / n;
+        let spread = values.iter().map(|v| (v.1 - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        let machines = values.iter().map(|v| v.0).collect::<BTreeSet<_>>().len() as f64;
+        Level { count: values.len(), machines, mean, error: (spread / n).sqrt() }
+    }
+}
+
+/// Share of the last outcomes, `most` at the most, of which something holds.
+pub(crate) fn share(seen: &VecDeque<Seen>, most: usize, holds: impl Fn(&Seen) -> bool) -> f64 {
+    let last = seen.iter().rev().take(most);
+    last.filter(|s| holds(s)).count() as f64 / seen.len().clamp(1, most) as f64
 }
