--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,6 +19,7 @@
 const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
+const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
 const KEPT: usize = 60; // outcomes kept a class, for the earlier build's share and for breadth
 const ALIVE: Micros = 4 * SECOND; // the earlier build can be compared with for so long after an outcome
 const SLOWER: f64 = 0.3; // logarithm by which a build must surely be slower to fail by its times: 1.35
@@ -52,6 +53,9 @@
 const RETRY_SAVED: f64 = 10.0; // most retries saved up
 const FULL_TIME: f64 = 0.6; // mean time over aim above which fewer requests are let in: queues build up
 const FREE_TIME: f64 = 0.5; // and below which more are
+const TIME_NEWEST: f64 = 0.05; // weight of the newest outcome in that mean
+const TENANT_NEWEST: f64 = 0.01; // weight of the newest request in a tenant's part of the traffic
+const OVER_SHARE: f64 = 1.25; // multiple of its share from which a tenant is served after the others
 const CHEAP_ROOM: f64 = 0.7; // part of the limit open to requests worth nothing; the dearest use all
 const COME_BACK: f64 = 0.2; // share of the aim after which a refused client should try again, on average
 const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
@@ -299,7 +303,7 @@
     /// goes, and comes back with the build, is its doing; any other is a trouble of the fleet. All fronts
     /// see the rise at about the same time, so that they withhold together without a word to each other.
     /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: a hold of
-    /// 3 s on a good build, and a trouble that comes and goes within seconds.
+    /// 3 s on a good build; a trouble that comes and goes within seconds.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build) = (self.now, stage.build);
         let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| *s >= DOSE);
@@ -550,9 +554,8 @@
         let mut exposure: BTreeMap<Build, bool> = BTreeMap::new();
         let [mut good, mut poor, mut dead] = [const { Vec::new() }; 3];
         let listed = self.machines.iter().filter(|(_, m)| m.listed);
-        let listed: Vec<_> =
-            listed.map(|(id, m)| (*id, m.entry, self.now < m.ejected_until, m.dead)).collect();
-        for (id, entry, ejected, unreached) in listed {
+        let listed: Vec<_> = listed.map(|(id, m)| (*id, m.entry, m.ejected_until, m.dead)).collect();
+        for (id, entry, ejected_until, unreached) in listed {
             let build = entry.build;
             if !*exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class))
                 || !self.key_allows(held.request.key, build)
@@ -561,7 +564,7 @@
             {
                 continue;
             }
-            let tried = held.attempts.iter().any(|a| a.machine == id);
+            let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
             match tried || ejected || self.shunned(build, class) {
                 false => good.push(id),
                 true if ejected && unreached => dead.push(id),
@@ -573,14 +576,10 @@
 
     /// Builds that failed are used only for want of others; an effect stays away once its class fails.
     fn shunned(&self, build: Build, class: ClassId) -> bool {
+        let Some(record) = self.records.get(&build) else { return false };
+        let withheld = record.suspected.is_some_and(|(since, _)| self.now < since + SUSTAINED);
         let effect = self.config.classes[class.0].effect != Effect::Safe;
-        let fails = |r: &Record| {
-            let failing = effect && r.failing_since[class.0].is_some();
-            r.state == State::Failed
-                || failing
-                || r.suspected.is_some_and(|(since, _)| self.now < since + SUSTAINED)
-        };
-        self.records.get(&build).is_some_and(fails)
+        record.state == State::Failed || withheld || effect && record.failing_since[class.0].is_some()
     }
 
     // ---- Server choice ----
@@ -593,14 +592,9 @@
         if good.len() < poor.len() {
             good.extend(poor);
         }
-        if good.is_empty() {
-            good = dead;
-        }
-        if good.is_empty() {
-            return None;
-        }
-        let (a, b) = (good[self.rng.usize(..good.len())], good[self.rng.usize(..good.len())]);
-        Some(if self.load(b) < self.load(a) { b } else { a })
+        let good = if good.is_empty() { dead } else { good };
+        let (a, b) = (self.rng.choice(&good)?, self.rng.choice(&good)?);
+        Some(if self.load(*b) < self.load(*a) { *b } else { *a })
     }
 
     fn load(&self, id: MachineId) -> f64 {
@@ -617,7 +611,7 @@
         self.requests.add(self.now, request.class);
         self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
         for (i, rate) in self.tenant_rate.iter_mut().enumerate() {
-            *rate = *rate * 0.99 + 0.01 * f64::from(u8::from(request.tenant == Some(TenantId(i))));
+            *rate += (f64::from(u8::from(request.tenant == Some(TenantId(i)))) - *rate) * TENANT_NEWEST;
         }
         let (id, admitted, arrived) = (request.id, self.admits(&request), self.now);
         self.held.insert(id, Held { request, arrived, attempts: Vec::new(), life: Life::Open });
@@ -629,9 +623,8 @@
     fn admits(&self, request: &Request) -> bool {
         let most = self.config.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
         let worth = self.config.classes[request.class.0].worth / most;
-        let over =
-            request.tenant.is_some_and(|t| self.tenant_rate[t.0] > 1.25 * self.config.tenants[t.0].share);
-        let worth = if over { worth * self.config.over_share_worth } else { worth };
+        let over = |t: TenantId| self.tenant_rate[t.0] > OVER_SHARE * self.config.tenants[t.0].share;
+        let worth = worth * if request.tenant.is_some_and(over) { self.config.over_share_worth } else { 1.0 };
         f64::from(self.open) < self.limit * (CHEAP_ROOM + (1.0 - CHEAP_ROOM) * worth)
     }
 
@@ -657,13 +650,12 @@
             self.open += 1;
             let time_out = cut.then(|| useful.saturating_sub(now).max(MS));
             self.out.push(Action::Place { id, machine, time_out });
-            self.held.insert(id, held);
         } else if now < patience {
             held.life = Life::Waiting;
             self.waiting.push_back(id);
-            self.held.insert(id, held);
-        } else {
-            self.held.insert(id, held);
+        }
+        self.held.insert(id, held);
+        if choice.is_none() && now >= patience {
             self.log("nowhere", || "no machine may take a request: giving up".into());
             self.give_up(id);
         }
@@ -707,16 +699,16 @@
         }
         let used = lag as f64 / self.config.classes[request.class.0].aim.max(1) as f64;
         let used = if outcome == Outcome::Full { 1.0 } else { used.min(2.0) };
-        self.time_used += (used - self.time_used) * 0.05;
+        self.time_used += (used - self.time_used) * TIME_NEWEST;
         let value = (lag.max(1) as f64 / request.hint.map_or(1.0, |h| h.max(1) as f64)).ln();
         // What is usual is learnt before a trial, lest what the trial does to the fleet becomes usual.
         let trial = self.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
         let teaches = outcome == Outcome::Served && !cold && !self.on_trial(build);
         let [of_all, of_kind] = [None, Some(kind)].map(|kind| {
             let usual = self.usual.entry((request.class, kind)).or_insert((value, 0));
-            if teaches && (trial.is_none() || usual.1 < 100) {
+            if teaches && (trial.is_none() || usual.1 < LEARNT) {
                 usual.1 += 1;
-                usual.0 += (value - usual.0) / f64::from(usual.1.min(200));
+                usual.0 += (value - usual.0) / f64::from(usual.1.min(2 * LEARNT));
             }
             (usual.1 >= JUDGED_FROM as u32).then_some(value - usual.0)
         });
@@ -751,9 +743,8 @@
             Effect::Once => !ran,
             Effect::Keyed { scope, .. } => !ran || scope == Scope::All,
         };
-        // Soon enough that the answer is still worth something, and not all at once.
-        let soon = (self.config.classes[held.request.class.0].aim as f64 * COME_BACK * (0.5 + self.rng.f64()))
-            as Micros;
+        let aim = self.config.classes[held.request.class.0].aim as f64;
+        let soon = (aim * COME_BACK * (0.5 + self.rng.f64())) as Micros;
         let come_back = self.config.retry_advice.map(|most| soon.min(most));
         self.out.push(if refusable { Action::Refuse { id, come_back } } else { Action::Fail(id) });
         self.end(id);
