Leave unreached attempts out of the mean time; an outcome counts one aim at most

Cause: quick refusals of dead machines looked like quick answers, one stalled machine like a full fleet.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,8 +51,8 @@
 // Requests.
 const RETRY_EARNED: f64 = 0.1; // retries earned by a request: a retry storm stays a tenth of the traffic
 const RETRY_SAVED: f64 = 10.0; // most retries saved up
-const FULL_TIME: f64 = 0.6; // mean time over aim above which fewer requests are let in: queues build up
-const FREE_TIME: f64 = 0.5; // and below which more are
+const FULL_TIME: f64 = 0.55; // mean time over aim above which fewer requests are let in: queues build up
+const FREE_TIME: f64 = 0.45; // and below which more are
 const TIME_NEWEST: f64 = 0.05; // weight of the newest outcome in that mean
 const TENANT_NEWEST: f64 = 0.01; // weight of the newest request in a tenant's part of the traffic
 const OVER_SHARE: f64 = 1.25; // multiple of its share from which a tenant is served after the others
@@ -698,8 +698,11 @@
             return;
         }
         let used = lag as f64 / self.config.classes[request.class.0].aim.max(1) as f64;
-        let used = if outcome == Outcome::Full { 1.0 } else { used.min(2.0) };
-        self.time_used += (used - self.time_used) * TIME_NEWEST;
+        // A quick refusal is no quick answer, and one stalled machine is no full fleet.
+        let used = if outcome == Outcome::Served { used.min(1.0) } else { 1.0 };
+        if outcome != Outcome::Unreached {
+            self.time_used += (used - self.time_used) * TIME_NEWEST;
+        }
         let value = (lag.max(1) as f64 / request.hint.map_or(1.0, |h| h.max(1) as f64)).ln();
         // What is usual is learnt before a trial, lest what the trial does to the fleet becomes usual.
         let trial = self.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
