--- a/src/brain.rs
+++ b/src/brain.rs
@@ -360,15 +360,6 @@
             // What the fleet showed has been running since the build was suspected.
             let began = record.suspected.filter(|_| i > classes).map_or(now, |s| s.0);
             let since = *record.failing_since[i].get_or_insert(began);
-            // Danger: few outcomes come from a build that is avoided, and a failure long over stands. Without
-            // failures in the second half of the time the class is judged afresh.
-            let half = since + SUSTAINED / 2;
-            let failed = |s: &Seen| s.outcome != Outcome::Served && s.at > half;
-            if i < classes && now - since >= SUSTAINED && !record.seen[i].iter().any(failed) {
-                record.seen[i].clear();
-                record.failing_since[i] = None;
-                continue;
-            }
             let doubted = lone && !(i < classes && passes);
             if now - since >= if doubted { LONE * SUSTAINED } else { SUSTAINED } {
                 sustained = Some(i);
