--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,6 +15,7 @@
 const RECENT: usize = 20; // outcomes a class is judged by: older ones say what was, not what is
 const JUDGED_FROM: usize = 10; // outcomes below which a class is unjudged: a verdict on less is chance
 const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's
+const RECOVERED: f64 = 0.5; // part of a bar that a failure must fall under to end: no flicker about the bar
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
 const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
@@ -266,15 +267,19 @@
         let failed = |s: &Seen| wrong(s) || late(s);
         let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, failed));
         let seen = &record.seen[class];
-        let (n, lates) = (seen.len().min(RECENT), share(seen, RECENT, late));
+        let (n, lates, bar) = (seen.len().min(RECENT), share(seen, RECENT, late), self.bar(record, class));
         let surely = (lates - SURELY * (lates / n as f64).sqrt()).max(0.0);
         match n >= JUDGED_FROM {
             false => Mark::Unjudged,
-            true if share(seen, RECENT, wrong) + surely <= before + MARGIN => Mark::Pass,
-            true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
+            true if share(seen, RECENT, wrong) + surely <= before + MARGIN * bar => Mark::Pass,
+            true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0, bar),
         }
     }
 
+    fn bar(&self, record: &Record, mark: usize) -> f64 {
+        if matches!(record.marks[mark], Mark::Fail { .. }) { RECOVERED } else { 1.0 }
+    }
+
     fn times(&self, record: Option<&Record>) -> Vec<(MachineId, f64)> {
         let seen = record.into_iter().flat_map(|r| r.seen.iter().flatten());
         seen.filter(|s| s.at + ALIVE > self.now).filter_map(|s| Some((s.machine, s.slower?))).collect()
@@ -289,10 +294,11 @@
         // However many outcomes, a build's few machines may be slow ones.
         let spread = SPREAD * (1.0 / new.machines + 1.0 / old.machines).sqrt();
         let error = new.error.hypot(old.error).hypot(spread);
+        let bar = self.bar(record, self.config.classes.len());
         match new.count.min(old.count) >= JUDGED_FROM {
             false => Mark::Unjudged,
-            true if new.mean - old.mean - SURELY * error <= SLOWER => Mark::Pass,
-            true => breadth(times.into_iter(), old.mean + SLOWER),
+            true if new.mean - old.mean - SURELY * error <= SLOWER * bar => Mark::Pass,
+            true => breadth(times.into_iter(), old.mean + SLOWER * bar, bar),
         }
     }
 
@@ -802,12 +808,16 @@
 /// Whether a failure shows on most machines of a build, each by its mean over a bar.
 /// Danger: machines with quick errors, a neighbour or a crash among many fail a good build. Harm: a build
 /// that is bad on fewer than half of its machines goes on.
-fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, bar: f64) -> Mark {
+fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, over: f64, bar: f64) -> Mark {
     let mut machines: BTreeMap<MachineId, (f64, f64)> = BTreeMap::new();
     for (machine, weight) in seen {
         let sum = machines.entry(machine).or_insert((0.0, 0.0));
         *sum = (sum.0 + weight, sum.1 + 1.0);
     }
-    let over = machines.values().filter(|(sum, n)| sum / n > bar).count();
-    if over * 2 > machines.len() { Mark::Fail { lone: machines.len() == 1 } } else { Mark::Pass }
+    let over = machines.values().filter(|(sum, n)| sum / n > over).count() as f64;
+    if over > machines.len() as f64 * 0.5 * bar {
+        Mark::Fail { lone: machines.len() == 1 }
+    } else {
+        Mark::Pass
+    }
 }
