--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,6 +73,7 @@
     ask_wait: Micros,
     news: Option<Stage>,
     recount_at: Option<Micros>,
+    replaced: Micros, // when a machine last came or went
     records: BTreeMap<Build, Record>,
     requests: Window,
     answered_keys: BTreeMap<KeyId, Build>,
@@ -169,7 +170,11 @@
                 *machine = Machine { open: machine.open, ..fresh() };
             }
             machine.entry = entry;
-            machine.listed = entry.presence == Presence::On;
+            let listed = entry.presence == Presence::On;
+            if machine.listed != listed {
+                self.replaced = self.now;
+            }
+            machine.listed = listed;
         }
         self.machines.retain(|_, m| m.listed || m.open > 0);
     }
@@ -294,11 +299,10 @@
         // However many outcomes, a build's few machines may be slow ones.
         let spread = SPREAD * (1.0 / new.machines + 1.0 / old.machines).sqrt();
         let error = new.error.hypot(old.error).hypot(spread);
-        let bar = self.bar(record, self.config.classes.len());
-        match new.count.min(old.count) >= JUDGED_FROM {
+        match new.count.min(old.count) >= RECENT {
             false => Mark::Unjudged,
-            true if new.mean - old.mean - SURELY * error <= SLOWER * bar => Mark::Pass,
-            true => breadth(times.into_iter(), old.mean + SLOWER * bar, bar),
+            true if new.mean - old.mean - SURELY * error <= SLOWER => Mark::Pass,
+            true => breadth(times.into_iter(), old.mean + SLOWER, 1.0),
         }
     }
 
@@ -317,7 +321,7 @@
         let Some((since, raised)) = record.suspected else {
             let Level { count, mean, error, .. } = Level::of(&self.times(self.earlier(build)));
             let raised = count >= RECENT && mean - SURELY * error > RAISED;
-            if raised && record.cleared != Some(stage.stage) {
+            if raised && record.cleared != Some(stage.stage) && now > self.replaced + SETTLE {
                 let record = self.record(build);
                 (record.suspected, record.steps) = (Some((now, mean)), Default::default());
                 self.log("suspect", || format!("all machines slower: withholding build {} for 3 s", build.0));
@@ -327,7 +331,11 @@
         let [without, with] =
             [0, 1].map(|i| Some(Level::of(&record.steps[i])).filter(|l| l.count >= RECENT).map(|l| l.mean));
         let (age, least) = (now - since, IN_STEP * raised);
-        if age < SUSTAINED {
+        // Machines that come or go change the times by themselves: such a test tells nothing.
+        if self.replaced > since {
+            self.record(build).suspected = None;
+        }
+        if age < SUSTAINED || self.replaced > since {
             return Mark::Unjudged;
         }
         if let Some(without) = without.filter(|w| raised - w > least && age < 2 * SUSTAINED) {
