--- a/src/brain.rs
+++ b/src/brain.rs
@@ -328,8 +328,10 @@
             }
             return Mark::Unjudged;
         };
-        let [without, with] =
-            [0, 1].map(|i| Some(Level::of(&record.steps[i])).filter(|l| l.count >= RECENT).map(|l| l.mean));
+        let [without, with] = [0, 1].map(|i| {
+            let last = record.steps[i].len().saturating_sub(KEPT); // the effect may take seconds to return
+            Some(Level::of(&record.steps[i][last..])).filter(|l| l.count >= RECENT).map(|l| l.mean)
+        });
         let (age, least) = (now - since, IN_STEP * raised);
         // Machines that come or go change the times by themselves: such a test tells nothing.
         if self.replaced > since {
@@ -338,7 +340,7 @@
         if age < SUSTAINED || self.replaced > since {
             return Mark::Unjudged;
         }
-        if let Some(without) = without.filter(|w| raised - w > least && age < 2 * SUSTAINED) {
+        if let Some(without) = without.filter(|w| raised - w > least && age < 3 * SUSTAINED) {
             let back = with.is_some_and(|with| with - without > least);
             return if back { Mark::Fail { lone: false } } else { Mark::Unjudged };
         }
