--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,6 +19,7 @@
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
 const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
+const RECORDS: usize = 4; // builds remembered: the newest, the one before, and any taken off between
 const KEPT: usize = 60; // outcomes kept a class, for the earlier build's share and for breadth
 const ALIVE: Micros = 4 * SECOND; // the earlier build can be compared with for so long after an outcome
 const SLOWER: f64 = 0.3; // logarithm by which a build must surely be slower to fail by its times: 1.35
@@ -121,11 +122,7 @@
         match event {
             Event::Fleet(news) => self.fleet(news),
             Event::Request(request) => self.request(request),
-            Event::Begun { id, .. } => {
-                if let Some(held) = self.held.get_mut(&id) {
-                    held.life = Life::Begun;
-                }
-            }
+            Event::Begun { id, .. } => drop(self.held.entry(id).and_modify(|h| h.life = Life::Begun)),
             Event::Done(done) => self.done(&done),
             Event::Gone(id) => self.end(id),
             Event::Timer(_) => self.housekeeping(),
@@ -171,9 +168,7 @@
             }
             machine.entry = entry;
             let listed = entry.presence == Presence::On;
-            if machine.listed != listed {
-                self.replaced = self.now;
-            }
+            self.replaced = if machine.listed != listed { self.now } else { self.replaced };
             machine.listed = listed;
         }
         self.machines.retain(|_, m| m.listed || m.open > 0);
@@ -263,9 +258,8 @@
 
     /// Marks a class by the share of its failures over the last outcomes, against the earlier build's.
     fn judge_class(&self, record: &Record, earlier: Option<&Record>, class: usize) -> Mark {
-        // Danger: time-outs come from load, a stall or a short wait as easily as from a build, so they count
-        // only as far as they are surely above chance, and only beside a living earlier build. Harm: a
-        // build that makes few requests hang is found later, by its times or not at all.
+        // Danger: time-outs come from load or a stall as easily as from a build, so they count only as far as
+        // surely above chance, beside a living earlier build. Harm: one that hangs a few is found late.
         let alive = earlier.is_some_and(|e| e.last_seen + ALIVE > self.now);
         let wrong = |s: &Seen| s.outcome == Outcome::Error;
         let late = |s: &Seen| alive && s.outcome == Outcome::TimedOut;
@@ -310,8 +304,8 @@
     /// than before the trial, the clock is held and the build withheld for the sustained time: a rise that
     /// goes, and comes back with the build, is its doing; any other is a trouble of the fleet. All fronts
     /// see the rise at about the same time, so that they withhold together without a word to each other.
-    /// Danger: a build that slows old and new alike never looks worse than the earlier one. Harm: a hold of
-    /// 3 s on a good build; a trouble that comes and goes within seconds.
+    /// Danger: a build that slows old and new alike looks no worse than the earlier one. Harm: 3 s of hold
+    /// on a good build; a trouble that comes and goes within seconds.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build) = (self.now, stage.build);
         let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| *s >= DOSE);
@@ -334,10 +328,9 @@
         });
         let (age, least) = (now - since, IN_STEP * raised);
         // Machines that come or go change the times by themselves: such a test tells nothing.
-        if self.replaced > since {
-            self.record(build).suspected = None;
-        }
-        if age < SUSTAINED || self.replaced > since {
+        let void = self.replaced > since;
+        if age < SUSTAINED || void {
+            self.record(build).suspected = Some((since, raised)).filter(|_| !void);
             return Mark::Unjudged;
         }
         if let Some(without) = without.filter(|w| raised - w > least && age < 3 * SUSTAINED) {
@@ -588,8 +581,7 @@
         [good, poor, dead]
     }
 
-    /// Builds that failed or are withheld are used only for want of others. A class that fails is still
-    /// sent: without fresh outcomes no failure could be seen to end.
+    /// A build that failed or is withheld is used only for want of others. A class that fails is still sent.
     fn shunned(&self, build: Build) -> bool {
         let withheld = |r: &Record| r.suspected.is_some_and(|(since, _)| self.now < since + SUSTAINED);
         self.records.get(&build).is_some_and(|r| r.state == State::Failed || withheld(r))
@@ -711,7 +703,7 @@
             return;
         }
         let used = lag as f64 / self.config.classes[request.class.0].aim.max(1) as f64;
-        // A quick refusal is no quick answer, one stalled machine no full fleet, and a dead one tells nothing.
+        // A quick refusal is no quick answer, one stalled machine no full fleet; a dead one tells nothing.
         let used = if outcome == Outcome::Served { used.min(1.0) } else { 1.0 };
         let weight = if outcome == Outcome::Unreached { 0.0 } else { TIME_NEWEST };
         self.time_used += (used - self.time_used) * weight;
@@ -742,14 +734,11 @@
             }
             self.judge();
         }
-        if let (Outcome::Served, true, Some(key)) = (outcome, self.config.rollout.one_way, request.key)
-            && self.on_trial(build)
-        {
-            self.answered_keys.insert(key, build);
-        }
+        let binds = self.config.rollout.one_way && outcome == Outcome::Served && self.on_trial(build);
+        self.answered_keys.extend(request.key.filter(|_| binds).map(|key| (key, build)));
     }
 
-    /// The final answer, at once: rejected where the rules allow to say so, with advice when to come back.
+    /// The final answer, at once: rejected where the rules allow it, with advice when to come back.
     fn give_up(&mut self, id: RequestId) {
         let Some(held) = self.held.get(&id) else { return };
         let ran = held.attempts.iter().any(|a| a.may_have_run());
@@ -801,9 +790,7 @@
         } else if self.time_used < FREE_TIME {
             self.limit = (self.limit * 1.01).min(1e6);
         }
-        while self.records.len() > 4 {
-            self.records.pop_first();
-        }
+        (self.records.len() > RECORDS).then(|| self.records.pop_first());
     }
 
     fn log(&mut self, kind: &'static str, words: impl FnOnce() -> String) {
@@ -819,12 +806,8 @@
 /// Danger: machines with quick errors, a neighbour or a crash among many fail a good build. Harm: a build
 /// that is bad on fewer than half of its machines goes on.
 fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, over: f64, bar: f64) -> Mark {
-    let mut machines: BTreeMap<MachineId, (f64, f64)> = BTreeMap::new();
-    for (machine, weight) in seen {
-        let sum = machines.entry(machine).or_insert((0.0, 0.0));
-        *sum = (sum.0 + weight, sum.1 + 1.0);
-    }
-    let over = machines.values().filter(|(sum, n)| sum / n > over).count() as f64;
+    let machines = means(seen);
+    let over = machines.iter().filter(|mean| **mean > over).count() as f64;
     if over > machines.len() as f64 * 0.5 * bar {
         Mark::Fail { lone: machines.len() == 1 }
     } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The plain data that the decision module keeps: nothing here decides anything.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
 
@@ -156,3 +156,13 @@
     let last = seen.iter().rev().take(most);
     last.filter(|s| holds(s)).count() as f64 / seen.len().clamp(1, most) as f64
 }
+
+/// The mean of each machine's values.
+pub(crate) fn means(values: impl Iterator<Item = (MachineId, f64)>) -> Vec<f64> {
+    let mut machines: BTreeMap<MachineId, (f64, f64)> = BTreeMap::new();
+    for (machine, value) in values {
+        let (sum, count) = machines.entry(machine).or_insert((0.0, 0.0));
+        (*sum, *count) = (*sum + value, *count + 1.0);
+    }
+    machines.into_values().map(|(sum, count)| sum / count).collect()
+}
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -86,15 +86,17 @@
     assert!(back >= 5, "there is a way back: {back} of 60");
 }
 
-/// Traffic in which the time at all machines follows `slow(moment)`; the votes cast.
-fn paced(rig: &mut Rig, ms: Micros, slow: impl Fn(&Rig) -> u64) -> Vec<Verdict> {
-    let mut votes = Vec::new();
+/// Traffic in which the time at all machines follows `slow`, told how long ago a new machine was last sent
+/// to; the votes cast.
+fn paced(rig: &mut Rig, ms: Micros, slow: impl Fn(Micros) -> u64) -> Vec<Verdict> {
+    let (mut votes, mut sent_new) = (Vec::new(), rig.now);
     let until = rig.now + ms * MS;
     while rig.now < until {
         for _ in 0..4 {
             let (id, out) = rig.request(READ);
-            if placed(&out).is_some() {
-                let lag = 40 * MS * slow(rig);
+            if let Some(machine) = placed(&out) {
+                sent_new = if machine.0 >= 8 { rig.now } else { sent_new };
+                let lag = 40 * MS * slow(rig.now - sent_new);
                 rig.done(id, 0, Outcome::Served, lag);
             }
         }
@@ -121,12 +123,8 @@
 #[test]
 fn a_build_slows_old_and_new_machines_alike() {
     let mut rig = warmed_up();
-    let offered = rig.now;
-    // Slow while it is sent to; quick from a second after it is withheld, until a second after it is back.
-    let votes = paced(&mut rig, 12_000, |rig| {
-        let age = (rig.now - offered) / MS;
-        if (1_500..3_700).contains(&age) { 1 } else { 3 }
-    });
+    // The effect stays for a second after the last request to the build.
+    let votes = paced(&mut rig, 16_000, |since_new| if since_new > 1_000 * MS { 1 } else { 3 });
     assert!(votes.contains(&Verdict::Hold) && votes.contains(&Verdict::Back), "{votes:?}");
 }
 
--- a/tests/votes.rs
+++ b/tests/votes.rs
@@ -42,7 +42,13 @@
 #[test]
 fn a_failure_that_ends_in_time_takes_the_hold_away() {
     let mut rig = in_mode(VoteMode::Timer);
-    assert!(rig.traffic(1_500, fails_at_new).contains(&Verdict::Hold));
+    rig.list(vec![entry(1, OLD), entry(2, OLD), entry(6, NEW), entry(7, NEW), entry(8, NEW), entry(9, NEW)]);
+    let count = std::cell::Cell::new(0u32);
+    let votes = rig.traffic(1_500, |_, m| {
+        count.set(count.get() + u32::from(m.0 >= 6));
+        if m.0 >= 6 && count.get().is_multiple_of(4) { Outcome::Error } else { Outcome::Served }
+    });
+    assert!(votes.contains(&Verdict::Hold), "{votes:?}");
     let votes = rig.traffic(6_000, served);
     assert!(votes.contains(&Verdict::None) && !votes.contains(&Verdict::Back), "{votes:?}");
 }
@@ -118,6 +124,8 @@
 #[test]
 fn back_also_works_after_the_release_and_not_once_withdrawn() {
     let mut rig = in_mode(VoteMode::Timer);
+    rig.traffic(1_000, served);
+    rig.list(vec![entry(8, NEW), entry(9, NEW)]);
     rig.send(Event::Stage(stage(NEW, 2, Phase::Released, 1.0)));
     assert!(rig.traffic(8_000, fails_at_new).contains(&Verdict::Back));
     rig.send(Event::Stage(stage(NEW, 2, Phase::GoingBack, 0.0)));
