--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,6 +75,7 @@
     news: Option<Stage>,
     recount_at: Option<Micros>,
     replaced: Micros, // when a machine last came or went
+    staged: Micros,   // when the build's stage or phase last changed
     records: BTreeMap<Build, Record>,
     requests: Window,
     answered_keys: BTreeMap<KeyId, Build>,
@@ -315,7 +316,9 @@
         let Some((since, raised)) = record.suspected else {
             let Level { count, mean, error, .. } = Level::of(&self.times(self.earlier(build)));
             let raised = count >= RECENT && mean - SURELY * error > RAISED;
-            if raised && record.cleared != Some(stage.stage) && now > self.replaced + SETTLE {
+            // Only once the stage's machines are there: before that nothing new can have slowed the rest.
+            let settled = self.replaced > self.staged && now > self.replaced + SETTLE;
+            if raised && settled && record.cleared != Some(stage.stage) {
                 let record = self.record(build);
                 (record.suspected, record.steps) = (Some((now, mean)), Default::default());
                 self.log("suspect", || format!("all machines slower: withholding build {} for 3 s", build.0));
@@ -333,7 +336,7 @@
             self.record(build).suspected = Some((since, raised)).filter(|_| !void);
             return Mark::Unjudged;
         }
-        if let Some(without) = without.filter(|w| raised - w > least && age < 3 * SUSTAINED) {
+        if let Some(without) = without.filter(|w| raised - w > least && age < 2 * SUSTAINED) {
             let back = with.is_some_and(|with| with - without > least);
             return if back { Mark::Fail { lone: false } } else { Mark::Unjudged };
         }
@@ -386,18 +389,17 @@
     fn stage(&mut self, stage: Stage) {
         let before = self.news.replace(stage);
         self.record(stage.build);
-        let Some(before) = before.filter(|b| b.build == stage.build) else {
-            self.recount_at = None;
-            return self.log("news", || format!("build {} offered, cap {}", stage.build.0, stage.cap));
+        let state = |s: Stage| (s.build, s.stage, s.phase);
+        if before.map(state) != Some(state(stage)) {
+            self.staged = self.now;
+            let Stage { build, stage, phase, cap, .. } = stage;
+            self.log("news", || format!("build {} stage {stage}: {phase:?}, cap {cap}", build.0));
+        }
+        self.recount_at = match before.filter(|b| b.build == stage.build) {
+            Some(before) if stage.cap < before.cap => Some(self.now + self.config.drain_grace),
+            Some(before) if stage.cap == before.cap => self.recount_at,
+            _ => None,
         };
-        if stage.cap < before.cap {
-            self.recount_at = Some(self.now + self.config.drain_grace);
-        } else if stage.cap > before.cap {
-            self.recount_at = None;
-        }
-        if before.phase != stage.phase {
-            self.log("phase", || format!("build {} is now {:?}", stage.build.0, stage.phase));
-        }
     }
 
     /// What this instance would have the platform do, if anything.
@@ -564,11 +566,17 @@
         let listed: Vec<_> = listed.map(|(id, m)| (*id, m.entry, m.ejected_until, m.dead)).collect();
         for (id, entry, ejected_until, unreached) in listed {
             let build = entry.build;
-            if !*exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class))
-                || !self.key_allows(held.request.key, build)
-                || !self.repeat_allows(held, &entry)
-                || !self.cold_allows(id, work)
+            let exposed = *exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class));
+            let keyed = self.key_allows(held.request.key, build);
+            let warm = self.cold_allows(id, work);
+            if let Some(rule) = [("exposure", exposed), ("one-way keys", keyed), ("cold machines", warm)]
+                .iter()
+                .find_map(|(rule, kept)| (!kept).then_some(*rule))
             {
+                self.log(rule, || format!("the rule on {rule} keeps requests from machine {}", id.0));
+                continue;
+            }
+            if !self.repeat_allows(held, &entry) {
                 continue;
             }
             let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
@@ -795,7 +803,7 @@
 
     fn log(&mut self, kind: &'static str, words: impl FnOnce() -> String) {
         let due = self.logged.get(kind).is_none_or(|at| self.now >= at + LOG_GAP);
-        if due || kind == "verdict" || kind == "vote" {
+        if due || matches!(kind, "verdict" | "vote" | "news") {
             self.logged.insert(kind, self.now);
             self.out.push(Action::Log(words()));
         }
