--- a/src/brain.rs
+++ b/src/brain.rs
@@ -325,25 +325,23 @@
             }
             return Mark::Unjudged;
         };
-        let [without, with] = [0, 1].map(|i| {
-            let last = record.steps[i].len().saturating_sub(KEPT); // the effect may take seconds to return
-            Some(Level::of(&record.steps[i][last..])).filter(|l| l.count >= RECENT).map(|l| l.mean)
-        });
-        let (age, least) = (now - since, IN_STEP * raised);
+        let last = |step: &Vec<_>| Level::of(&step[step.len().saturating_sub(KEPT)..]);
+        let [without, with] = record.steps.each_ref().map(last);
+        let (age, void, least) = (now - since, self.replaced > since, IN_STEP * raised);
         // Machines that come or go change the times by themselves: such a test tells nothing.
-        let void = self.replaced > since;
         if age < SUSTAINED || void {
             self.record(build).suspected = Some((since, raised)).filter(|_| !void);
             return Mark::Unjudged;
         }
-        if let Some(without) = without.filter(|w| raised - w > least && age < 2 * SUSTAINED) {
-            let back = with.is_some_and(|with| with - without > least);
+        if without.count >= RECENT && raised - without.mean > least && age < 2 * SUSTAINED {
+            let surely = SURELY * with.error.hypot(without.error);
+            let back = with.count >= RECENT && with.mean - without.mean > least.max(surely);
             return if back { Mark::Fail { lone: false } } else { Mark::Unjudged };
         }
         let record = self.record(build);
         (record.suspected, record.cleared) = (None, Some(stage.stage));
         self.log("clear", || {
-            format!("build {} cleared: {raised:.2} with it, {without:.2?} without", build.0)
+            format!("build {} cleared: {raised:.2} with it, {:.2} without", build.0, without.mean)
         });
         Mark::Pass
     }
@@ -567,18 +565,13 @@
         for (id, entry, ejected_until, unreached) in listed {
             let build = entry.build;
             let exposed = *exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class));
-            let keyed = self.key_allows(held.request.key, build);
-            let warm = self.cold_allows(id, work);
-            if let Some(rule) = [("exposure", exposed), ("one-way keys", keyed), ("cold machines", warm)]
-                .iter()
-                .find_map(|(rule, kept)| (!kept).then_some(*rule))
-            {
+            let keys = self.key_allows(held.request.key, build) && self.repeat_allows(held, &entry);
+            let rules =
+                [("exposure", exposed), ("repeats", keys), ("cold machines", self.cold_allows(id, work))];
+            if let Some((rule, _)) = rules.iter().find(|(_, kept)| !kept) {
                 self.log(rule, || format!("the rule on {rule} keeps requests from machine {}", id.0));
                 continue;
             }
-            if !self.repeat_allows(held, &entry) {
-                continue;
-            }
             let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
             match tried || ejected || self.shunned(build) {
                 false => good.push(id),
