No fleet test once the trial has half of the fleet

Cause: with half of the machines or more on trial a withheld build is used all the same, and a wave of traffic looked like its doing.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 const SPREAD: f64 = 0.2; // logarithm by which good machines of a kind differ, by speed and by others' load
 const LONE: u64 = 3; // evidence of one machine alone must stay failed this many times as long
 
-const DOSE: f64 = 0.1; // share of the fleet below which a build can't be told by what it does to the rest
+const DOSE: std::ops::Range<f64> = 0.1..0.5; // shares of the fleet at which withholding a build can tell
 const SETTLE: Micros = 1_500 * MS; // how long the fleet takes to show that a build is withheld, or is back
 const RAISED: f64 = 0.4; // logarithm by which the fleet's times must surely rise to suspect the build
 const IN_STEP: f64 = 0.33; // share of that rise that must go when it is withheld, and come back with it
@@ -309,14 +309,13 @@
     /// on a good build; a trouble that comes and goes within seconds.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build) = (self.now, stage.build);
-        let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| *s >= DOSE);
+        let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| DOSE.contains(s));
         let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial && dose) else {
             return Mark::Unjudged;
         };
         let Some((since, raised)) = record.suspected else {
             let Level { count, mean, error, .. } = Level::of(&self.times(self.earlier(build)));
             let raised = count >= RECENT && mean - SURELY * error > RAISED;
-            // Only once the stage's machines are there: before that nothing new can have slowed the rest.
             let settled = self.replaced > self.staged && now > self.replaced + SETTLE;
             if raised && settled && record.cleared != Some(stage.stage) {
                 let record = self.record(build);
