--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,7 +18,6 @@
 const RECOVERED: f64 = 0.5; // part of a bar that a failure must fall under to end: no flicker about the bar
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
-const PROVEN: Micros = 15 * SECOND; // how long after a release its build's times become the usual ones
 const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
 const RECORDS: usize = 4; // builds remembered: the newest, the one before, and any taken off between
 const KEPT: usize = 60; // outcomes kept a class, for the earlier build's share and for breadth
@@ -295,10 +294,7 @@
         // However many outcomes, a build's few machines may be slow ones.
         let spread = SPREAD * (1.0 / new.machines + 1.0 / old.machines).sqrt();
         let error = new.error.hypot(old.error).hypot(spread);
-        match old.count >= RECENT {
-            _ if new.count < RECENT => Mark::Unjudged,
-            // Nothing is left to compare with: far above what was usual before, and for thrice as long.
-            false if new.mean - SURELY * new.error.hypot(SPREAD) > 2.0 * SLOWER => Mark::Fail { lone: true },
+        match new.count.min(old.count) >= RECENT {
             false => Mark::Unjudged,
             true if new.mean - old.mean - SURELY * error <= SLOWER => Mark::Pass,
             true => breadth(times.into_iter(), old.mean + SLOWER, 1.0),
@@ -392,7 +388,7 @@
         self.record(stage.build);
         let state = |s: Stage| (s.build, s.stage, s.phase);
         if before.map(state) != Some(state(stage)) {
-            self.staged = before.map_or(0, |_| self.now);
+            self.staged = self.now;
             let Stage { build, stage, phase, cap, .. } = stage;
             self.log("news", || format!("build {} stage {stage}: {phase:?}, cap {cap}", build.0));
         }
@@ -714,11 +710,10 @@
         let value = (lag.max(1) as f64 / request.hint.map_or(1.0, |h| h.max(1) as f64)).ln();
         // What is usual is learnt before a trial, lest what the trial does to the fleet becomes usual.
         let trial = self.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
-        let proven = trial.is_none() && self.now > self.staged + PROVEN;
         let teaches = outcome == Outcome::Served && !cold && !self.on_trial(build);
         let [of_all, of_kind] = [None, Some(kind)].map(|kind| {
             let usual = self.usual.entry((request.class, kind)).or_insert((value, 0));
-            if teaches && (proven || usual.1 < LEARNT) {
+            if teaches && (trial.is_none() || usual.1 < LEARNT) {
                 usual.1 += 1;
                 usual.0 += (value - usual.0) / f64::from(usual.1.min(2 * LEARNT));
             }
