--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -115,8 +115,9 @@
     rig.list((1..=6).map(|m| entry(m, OLD)).collect());
     rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
     paced(&mut rig, 2_000, |_| 1);
-    rig.list((1..=6).map(|m| entry(m, OLD)).chain([entry(8, NEW), entry(9, NEW)]).collect());
     rig.send(Event::Stage(stage(NEW, 1, Phase::Trial, 0.5)));
+    rig.now += 100 * MS;
+    rig.list((1..=6).map(|m| entry(m, OLD)).chain([entry(8, NEW), entry(9, NEW)]).collect());
     rig
 }
 
