--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,7 +45,7 @@
 const EJECT_FIRST: Micros = SECOND; // first ejection, doubled with each in a row ...
 const EJECT_MOST: Micros = 8 * SECOND; // ... up to this
 const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
-const CROSSING: f64 = 1.5; // how much heavier a machine in another zone counts where crossing has a price
+const CROSSING: f64 = 2.5; // how much heavier a machine in another zone counts where crossing has a price
 const COLD_USE: f64 = 0.6; // part of a cold machine's budget that is used: hints are rough, bursts chance
 
 // Requests.
