--- a/src/brain.rs
+++ b/src/brain.rs
@@ -272,14 +272,7 @@
         match n >= JUDGED_FROM {
             false => Mark::Unjudged,
             true if share(seen, RECENT, wrong) + surely <= before + MARGIN * bar => Mark::Pass,
-            // Danger: a build that fails seconds after its machines' start looks well on the younger ones.
-            true => {
-                let young =
-                    |s: &Seen| self.machines.get(&s.machine).is_some_and(|m| self.warmth(&m.entry).is_some());
-                let all = seen.iter().all(young);
-                let told = seen.iter().filter(|s| all || !young(s));
-                breadth(told.map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0, bar)
-            }
+            true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0, bar),
         }
     }
 
@@ -560,7 +553,8 @@
         })
     }
 
-    /// The machines that the rules allow: good ones, those that health advises against, unreachable ones.
+    /// All machines that the rules allow for this request: the good ones, those that health advises
+    /// against, and those that could not be reached of late.
     fn eligible(&mut self, held: &Held) -> [Vec<MachineId>; 3] {
         let (class, work) = (held.request.class, self.work(&held.request));
         let mut exposure: BTreeMap<Build, bool> = BTreeMap::new();
@@ -595,8 +589,9 @@
 
     // ---- Server choice ----
 
-    /// Power of two choices by requests in flight, for size, pace and zone. What health advises against is
-    /// left out unless that leaves less than half; what can't be reached, unless nothing else is left.
+    /// Power of two choices by requests in flight, for size, pace and zone. Machines that health advises
+    /// against are left out unless that would leave less than half: then the trouble is not theirs. Those
+    /// that can't be reached are used only for want of any other: no trouble makes them able to serve.
     fn choose(&mut self, held: &Held) -> Option<MachineId> {
         let [mut good, poor, dead] = self.eligible(held);
         if good.len() < poor.len() {
