Judge all classes together as one more class

Cause: in the first stage a quiet front sees about one outcome a second and class of the build on trial.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -232,9 +232,9 @@
             suspected: None,
             cleared: None,
             steps: Default::default(),
-            seen: vec![VecDeque::new(); classes],
-            marks: vec![Mark::Unjudged; classes + 2],
-            failing_since: vec![None; classes + 2],
+            seen: vec![VecDeque::new(); classes + 1],
+            marks: vec![Mark::Unjudged; classes + 3],
+            failing_since: vec![None; classes + 3],
             attempts: Window::new(span, classes),
         })
     }
@@ -251,9 +251,10 @@
             return;
         }
         record.last_seen = seen.at;
-        record.seen[class.0].push_back(seen);
-        if record.seen[class.0].len() > KEPT {
-            record.seen[class.0].pop_front();
+        for of in [class.0, record.seen.len() - 1] {
+            let ring = &mut record.seen[of];
+            ring.push_back(seen);
+            (ring.len() > KEPT).then(|| ring.pop_front());
         }
     }
 
@@ -281,7 +282,7 @@
     }
 
     fn times(&self, record: Option<&Record>) -> Vec<(MachineId, f64)> {
-        let seen = record.into_iter().flat_map(|r| r.seen.iter().flatten());
+        let seen = record.into_iter().flat_map(|r| r.seen.iter().take(self.config.classes.len()).flatten());
         seen.filter(|s| s.at + ALIVE > self.now).filter_map(|s| Some((s.machine, s.slower?))).collect()
     }
 
@@ -347,15 +348,13 @@
 
     /// Brings the record of the newest build up to date: marks, failure timers, state.
     fn judge(&mut self) {
-        let Some(news) = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else {
-            return;
-        };
+        let live = |n: &Stage| matches!(n.phase, Phase::Trial | Phase::Released);
+        let Some(news) = self.news.filter(live) else { return };
         let (now, build, classes) = (self.now, news.build, self.config.classes.len());
         let fleet = self.judge_fleet(news);
         let Some(record) = self.records.get(&build).filter(|r| r.state == State::Soaking) else { return };
         let earlier = self.earlier(build);
-        let mut marks: Vec<Mark> = (0..classes).map(|c| self.judge_class(record, earlier, c)).collect();
-        // One class failing where another passes is the build, not the machine.
+        let mut marks: Vec<Mark> = (0..=classes).map(|c| self.judge_class(record, earlier, c)).collect();
         let passes = marks.contains(&Mark::Pass);
         marks.extend([self.judge_times(record, earlier), fleet]);
         let record = self.record(build);
@@ -367,7 +366,7 @@
                 continue;
             };
             // What the fleet showed has been running since the build was suspected.
-            let began = record.suspected.filter(|_| i > classes).map_or(now, |s| s.0);
+            let began = record.suspected.filter(|_| i > classes + 1).map_or(now, |s| s.0);
             let since = *record.failing_since[i].get_or_insert(began);
             let doubted = lone && !(i < classes && passes);
             if now - since >= if doubted { LONE * SUSTAINED } else { SUSTAINED } {
@@ -376,7 +375,8 @@
         }
         if let Some(i) = sustained {
             record.state = State::Failed;
-            let what = self.config.classes.get(i).map_or("its times", |c| c.name.as_str()).to_owned();
+            let other = ["all classes together", "its times", "the fleet's times"][i.saturating_sub(classes)];
+            let what = self.config.classes.get(i).map_or(other, |c| &c.name).to_owned();
             self.log("verdict", || format!("build {}: {what} stayed failed, voting back", build.0));
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,8 +82,8 @@
     pub(crate) suspected: Option<(Micros, f64)>, // of slowing all machines: since when, by how much
     pub(crate) cleared: Option<usize>,           // of that, at this stage
     pub(crate) steps: [Vec<(MachineId, f64)>; 2], // the earlier build's times while it is withheld, and after
-    pub(crate) seen: Vec<VecDeque<Seen>>,
-    pub(crate) marks: Vec<Mark>, // one a class, then the build's times, then what it does to the fleet
+    pub(crate) seen: Vec<VecDeque<Seen>>,        // one a class, then all together
+    pub(crate) marks: Vec<Mark>, // one a class, all together, the build's times, what it does to the fleet
     pub(crate) failing_since: Vec<Option<Micros>>,
     pub(crate) attempts: Window,
 }
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -40,6 +40,22 @@
     assert!(rig.traffic(6_500, fails).contains(&Verdict::Back));
 }
 
+#[test]
+fn a_build_fails_every_class_before_any_has_ten_outcomes() {
+    let mut rig = trial(old_and(&[8, 9]));
+    let (mut at_new, mut turn) = (0, 0);
+    while at_new < 12 {
+        // As many of each class at the new machines: four, where ten make a judged class.
+        let class = ClassId(at_new / 4);
+        let fate = |m: MachineId| if m.0 >= 8 { Outcome::Error } else { Outcome::Served };
+        at_new += usize::from(rig.serve(class, fate).is_some_and(|m| m.0 >= 8));
+        turn += 1;
+        assert!(turn < 2_000, "the build gets no traffic");
+    }
+    let out = rig.tick(25);
+    assert!(matches!(out[..], [Action::Vote { verdict: Verdict::Hold, .. }]), "{out:?}");
+}
+
 #[test]
 fn time_outs_at_cold_machines_fail_a_good_build() {
     let mut rig = trial(old_and(&[]));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -118,9 +118,9 @@
     let mut rig = Rig::on_trial(config(), Vec::new());
     let started = Some(rig.now);
     rig.list(vec![Entry { started, ..entry(1, OLD) }]);
-    // 2 x 0.5 of a core for 1 s, 0.6 of it used, halved between two fronts: 300 ms of work, hints of 100 ms.
+    // 2 x 0.5 of a core for 1 s, 0.9 of it used, halved between two fronts: 450 ms of work, hints of 100 ms.
     let sent = (1..=5).filter(|_| placed(&rig.request(READ).1).is_some()).count();
-    assert_eq!(sent, 3);
+    assert_eq!(sent, 4);
     rig.now += 1_001 * MS;
     assert!(placed(&rig.request(READ).1).is_some(), "the window has passed");
     rig.now += 4_000 * MS;
