--- a/src/brain.rs
+++ b/src/brain.rs
@@ -317,8 +317,7 @@
         let Some((since, raised)) = record.suspected else {
             let Level { count, mean, error, .. } = Level::of(&self.times(self.earlier(build)));
             let raised = count >= RECENT && mean - SURELY * error > RAISED;
-            let full = f64::from(self.open) > self.limit * CHEAP_ROOM; // the limit then sets the times
-            let settled = self.replaced > self.staged && now > self.replaced + SETTLE && !full;
+            let settled = self.replaced > self.staged && now > self.replaced + SETTLE;
             if raised && settled && record.cleared != Some(stage.stage) {
                 let record = self.record(build);
                 (record.suspected, record.steps) = (Some((now, mean)), Default::default());
