--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -184,7 +184,15 @@
 
 #[test]
 fn every_request_gets_one_final_answer() {
-    let outcomes = [Outcome::Error, Outcome::TimedOut, Outcome::Full, Outcome::Broken, Outcome::Unreached];
+    let outcomes = [
+        Outcome::Error,
+        Outcome::TimedOut,
+        Outcome::Full,
+        Outcome::Broken,
+        Outcome::Unreached,
+        Outcome::Unsent,
+        Outcome::Withdrawn,
+    ];
     for class in [READ, BOOK, PAY] {
         for outcome in outcomes {
             let mut rig = Rig::on_trial(config(), vec![entry(1, OLD), entry(2, OLD)]);
