--- a/src/brain.rs
+++ b/src/brain.rs
@@ -273,7 +273,7 @@
         match n >= JUDGED_FROM {
             false => Mark::Unjudged,
             true if share(seen, RECENT, wrong) + surely <= before + MARGIN * bar => Mark::Pass,
-            true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0, bar),
+            true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
         }
     }
 
@@ -298,7 +298,7 @@
         match new.count.min(old.count) >= RECENT {
             false => Mark::Unjudged,
             true if new.mean - old.mean - SURELY * error <= SLOWER => Mark::Pass,
-            true => breadth(times.into_iter(), old.mean + SLOWER, 1.0),
+            true => breadth(times.into_iter(), old.mean + SLOWER),
         }
     }
 
@@ -805,12 +805,8 @@
 /// Whether a failure shows on most machines of a build, each by its mean over a bar.
 /// Danger: machines with quick errors, a neighbour or a crash among many fail a good build. Harm: a build
 /// that is bad on fewer than half of its machines goes on.
-fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, over: f64, bar: f64) -> Mark {
+fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, over: f64) -> Mark {
     let machines = means(seen);
-    let over = machines.iter().filter(|mean| **mean > over).count() as f64;
-    if over > machines.len() as f64 * 0.5 * bar {
-        Mark::Fail { lone: machines.len() == 1 }
-    } else {
-        Mark::Pass
-    }
+    let over = machines.iter().filter(|mean| **mean > over).count();
+    if over * 2 > machines.len() { Mark::Fail { lone: machines.len() == 1 } } else { Mark::Pass }
 }
