Take repetition out of module and tests, name the last tuned numbers

One phase check in place of three (Phase::stands), the earlier build's times reckoned once a verdict instead of twice, one look-up of the machine at a placement, one way in the tests to collect votes and to ask on a key.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,13 +42,16 @@
 const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and fault share
 const FORGET: f64 = 0.9965; // a pace fades so each tick, by half in 5 s: a slow machine is tried again
 const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
+const EJECT_AGAIN: f64 = 0.45; // fault share on the way back: one more fault is enough to leave again
 const EJECT_FIRST: Micros = SECOND; // first ejection, doubled with each in a row ...
 const EJECT_MOST: Micros = 8 * SECOND; // ... up to this
 const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
 const CROSSING: f64 = 2.5; // how much heavier a machine in another zone counts where crossing has a price
+const UNKNOWN_WORK: f64 = 50.0 * MS as f64; // work of a request while no hint or time is known
 const COLD_USE: f64 = 0.9; // part of a cold machine's budget that is used: hints are rough, bursts chance
 
 // Requests.
+const ON_THE_WAY: Micros = 100 * MS; // a keyed repeat must arrive while the first is still remembered
 const RETRY_EARNED: f64 = 0.1; // retries earned by a request: a retry storm stays a tenth of the traffic
 const RETRY_SAVED: f64 = 10.0; // most retries saved up
 const FULL_TIME: f64 = 0.55; // mean time over aim above which fewer requests are let in: queues build up
@@ -56,6 +59,10 @@
 const TIME_NEWEST: f64 = 0.05; // weight of the newest outcome in that mean
 const TENANT_NEWEST: f64 = 0.01; // weight of the newest request in a tenant's part of the traffic
 const OVER_SHARE: f64 = 1.25; // multiple of its share from which a tenant is served after the others
+const LIMIT_STEP: f64 = 0.01; // by how much the limit moves a tick: quicker, it swings
+const LEAST_OPEN: f64 = 4.0; // lowest limit, lest too few outcomes tell that room is back ...
+const LEAST_EACH: f64 = 2.0; // ... and so many for each machine, over the fronts
+const MOST_OPEN: f64 = 1e6; // highest limit, from which it still falls in time
 const CHEAP_ROOM: f64 = 0.7; // part of the limit open to requests worth nothing; the dearest use all
 const COME_BACK: f64 = 0.2; // share of the aim after which a refused client should try again, on average
 const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
@@ -183,7 +190,7 @@
 
     /// Expected work of a request: its hint, else the usual time of its class (which errs upwards).
     fn work(&self, request: &Request) -> f64 {
-        let usual = || self.usual.get(&(request.class, None)).map_or(50.0 * MS as f64, |u| u.0.exp());
+        let usual = || self.usual.get(&(request.class, None)).map_or(UNKNOWN_WORK, |u| u.0.exp());
         request.hint.map_or_else(usual, |h| h as f64)
     }
 
@@ -207,7 +214,7 @@
             machine.ejected_until = now + span;
             machine.dead = dead;
             machine.ejection = (span * 2).min(EJECT_MOST);
-            machine.faults = EJECT_ABOVE * 0.9; // on the way back one more fault is enough to leave again
+            machine.faults = EJECT_AGAIN;
             self.log("eject", || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
         }
     }
@@ -241,8 +248,8 @@
 
     /// The build that a trial is measured against: the newest earlier one with outcomes of its own.
     fn earlier(&self, build: Build) -> Option<&Record> {
-        let known = self.records.range(..build).rev().map(|(_, r)| r);
-        known.into_iter().find(|r| r.last_seen > 0 && r.state != State::Failed)
+        let served = |r: &&Record| r.last_seen > 0 && r.state != State::Failed;
+        self.records.range(..build).rev().map(|(_, r)| r).find(served)
     }
 
     fn put_on_record(&mut self, class: ClassId, build: Build, seen: Seen, sent: Micros) {
@@ -289,9 +296,9 @@
     /// Marks a build's times, all classes together: each outcome as its logarithm over the usual of its
     /// class and kind, cold machines left out, beside the earlier build's of the same moments.
     /// Danger: a build that is only slow passes by its errors until it takes the fleet down.
-    fn judge_times(&self, record: &Record, earlier: Option<&Record>) -> Mark {
+    fn judge_times(&self, record: &Record, old: Level) -> Mark {
         let times = self.times(Some(record));
-        let (new, old) = (Level::of(&times), Level::of(&self.times(earlier)));
+        let new = Level::of(&times);
         // However many outcomes, a build's few machines may be slow ones.
         let spread = SPREAD * (1.0 / new.machines + 1.0 / old.machines).sqrt();
         let error = new.error.hypot(old.error).hypot(spread);
@@ -308,19 +315,18 @@
     /// see the rise at about the same time, so that they withhold together without a word to each other.
     /// Danger: a build that slows old and new alike looks no worse than the earlier one. Harm: 3 s of hold
     /// on a good build; a trouble that comes and goes within seconds.
-    fn judge_fleet(&mut self, stage: Stage) -> Mark {
+    fn judge_fleet(&mut self, stage: Stage, old: Level) -> Mark {
         let (now, build) = (self.now, stage.build);
         let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| DOSE.contains(s));
         let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial && dose) else {
             return Mark::Unjudged;
         };
         let Some((since, raised)) = record.suspected else {
-            let Level { count, mean, error, .. } = Level::of(&self.times(self.earlier(build)));
-            let raised = count >= RECENT && mean - SURELY * error > RAISED;
+            let raised = old.count >= RECENT && old.mean - SURELY * old.error > RAISED;
             let settled = self.replaced > self.staged && now > self.replaced + SETTLE;
             if raised && settled && record.cleared != Some(stage.stage) {
                 let record = self.record(build);
-                (record.suspected, record.steps) = (Some((now, mean)), Default::default());
+                (record.suspected, record.steps) = (Some((now, old.mean)), Default::default());
                 self.log("suspect", || format!("all machines slower: withholding build {} for 3 s", build.0));
             }
             return Mark::Unjudged;
@@ -348,15 +354,16 @@
 
     /// Brings the record of the newest build up to date: marks, failure timers, state.
     fn judge(&mut self) {
-        let live = |n: &Stage| matches!(n.phase, Phase::Trial | Phase::Released);
-        let Some(news) = self.news.filter(live) else { return };
+        let Some(news) = self.news.filter(|n| n.phase.stands()) else { return };
         let (now, build, classes) = (self.now, news.build, self.config.classes.len());
-        let fleet = self.judge_fleet(news);
+        let old = Level::of(&self.times(self.earlier(build)));
+        let fleet = self.judge_fleet(news, old);
         let Some(record) = self.records.get(&build).filter(|r| r.state == State::Soaking) else { return };
         let earlier = self.earlier(build);
         let mut marks: Vec<Mark> = (0..=classes).map(|c| self.judge_class(record, earlier, c)).collect();
+        // One class failing where another passes is the build, not the machine.
         let passes = marks.contains(&Mark::Pass);
-        marks.extend([self.judge_times(record, earlier), fleet]);
+        marks.extend([self.judge_times(record, old), fleet]);
         let record = self.record(build);
         let mut sustained = None;
         for (i, mark) in marks.into_iter().enumerate() {
@@ -401,7 +408,7 @@
 
     /// What this instance would have the platform do, if anything.
     fn wish(&self) -> Option<Vote> {
-        let news = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))?;
+        let news = self.news.filter(|n| n.phase.stands())?;
         let record = self.records.get(&news.build)?;
         let vote = |verdict| Some(Vote { build: news.build, stage: news.stage, verdict });
         let timer = self.config.rollout.mode == VoteMode::Timer;
@@ -411,13 +418,12 @@
         if news.phase == Phase::Released {
             return None;
         }
-        if record.suspected.is_some() {
-            return if timer { vote(Verdict::Hold) } else { None };
-        }
-        if let Some(since) = record.failing_since.iter().flatten().min() {
+        let failing = record.failing_since.iter().flatten().min();
+        if record.suspected.is_some() || failing.is_some() {
             // Past the sustained time a failure still open rests on one machine: the clock goes on, so
             // that the next stage brings another machine to tell.
-            return if timer && self.now - since <= SUSTAINED { vote(Verdict::Hold) } else { None };
+            let holds = record.suspected.is_some() || failing.is_some_and(|s| self.now - s <= SUSTAINED);
+            return if timer && holds { vote(Verdict::Hold) } else { None };
         }
         let judged = record.marks[..self.config.classes.len()].iter().any(|m| *m != Mark::Unjudged);
         let trial = self.machines.values().filter(|m| m.listed && m.entry.build == news.build);
@@ -538,8 +544,7 @@
                         Scope::Cell => m.entry.cell == entry.cell,
                     })
                 };
-                // A margin for the way: the repeat must arrive while the first is still remembered.
-                self.now + 100 * MS < first + window && (scope == Scope::All || ran.all(with))
+                self.now + ON_THE_WAY < first + window && (scope == Scope::All || ran.all(with))
             }
         }
     }
@@ -548,7 +553,7 @@
     fn key_allows(&self, key: Option<KeyId>, build: Build) -> bool {
         let answered = key.and_then(|k| self.answered_keys.get(&k));
         answered.is_none_or(|at| {
-            let binds = |n: Stage| n.build == *at && matches!(n.phase, Phase::Trial | Phase::Released);
+            let binds = |n: Stage| n.build == *at && n.phase.stands();
             build >= *at || !self.news.is_some_and(binds)
         })
     }
@@ -642,12 +647,12 @@
         let useful = if class.late_worth > 0.0 { held.request.deadline } else { held.arrived + class.aim };
         let cut = useful < held.request.deadline && !class.streamed;
         let patience = (held.arrived + class.aim / 2).min(held.request.deadline.saturating_sub(2 * TICK));
-        if let Some((machine, m)) = choice.and_then(|c| Some((c, self.machines.get_mut(&c)?))) {
-            m.open += 1;
-            let (entry, class) = (m.entry, held.request.class);
+        if let Some(machine) = choice {
+            let (entry, class) = (self.machines[&machine].entry, held.request.class);
             let (build, cold) = (entry.build, self.warmth(&entry).is_some());
-            if let Some(m) = self.machines.get_mut(&machine).filter(|_| cold) {
-                m.cold_work.push_back((now, work));
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.open += 1;
+                m.cold_work.extend(cold.then_some((now, work)));
             }
             self.record(build).attempts.add(now, class);
             held.attempts.push(Attempt { machine, build, sent: now, cold, outcome: None });
@@ -669,14 +674,13 @@
     fn done(&mut self, done: &Done) {
         let &Done { id, attempt, outcome, lag, over, .. } = done;
         let Some(mut held) = self.held.remove(&id) else { return };
-        let class = held.request.class;
         if let Some(tried) = held.attempts.get_mut(attempt).filter(|a| a.open()) {
             tried.outcome = Some(outcome);
             self.learn(&held.request, &held.attempts[attempt], outcome, lag);
         }
         let in_flight = held.attempts.iter().any(|a| a.open());
         let ran = held.attempts.iter().any(|a| a.may_have_run());
-        let Class { effect, aim, .. } = self.config.classes[class.0];
+        let Class { effect, aim, .. } = self.config.classes[held.request.class.0];
         let useful = self.now + self.config.resolution < held.request.deadline.min(held.arrived + aim);
         let more = held.attempts.len() < self.config.max_attempts && useful && self.retries >= 1.0;
         let (over, begun) = (over || held.life == Life::Over, held.life == Life::Begun);
@@ -720,9 +724,8 @@
             (usual.1 >= JUDGED_FROM as u32).then_some(value - usual.0)
         });
         self.machine_outcome(machine, outcome, of_all.unwrap_or(0.0));
-        let timed_out = outcome == Outcome::TimedOut;
         // A cold machine is slow whatever it runs: its time-outs say nothing of the build.
-        if matches!(outcome, Outcome::Served | Outcome::Error) || timed_out && !cold {
+        if matches!(outcome, Outcome::Served | Outcome::Error) || outcome == Outcome::TimedOut && !cold {
             let slower = of_kind.filter(|_| !cold && outcome != Outcome::Error);
             let seen = Seen { at: self.now, outcome, slower, machine };
             self.put_on_record(request.class, build, seen, sent);
@@ -742,13 +745,13 @@
     fn give_up(&mut self, id: RequestId) {
         let Some(held) = self.held.get(&id) else { return };
         let ran = held.attempts.iter().any(|a| a.may_have_run());
-        let refusable = match self.config.classes[held.request.class.0].effect {
+        let Class { effect, aim, .. } = self.config.classes[held.request.class.0];
+        let refusable = match effect {
             Effect::Safe => true,
             Effect::Once => !ran,
             Effect::Keyed { scope, .. } => !ran || scope == Scope::All,
         };
-        let aim = self.config.classes[held.request.class.0].aim as f64;
-        let soon = (aim * COME_BACK * (0.5 + self.rng.f64())) as Micros;
+        let soon = (aim as f64 * COME_BACK * (0.5 + self.rng.f64())) as Micros;
         let come_back = self.config.retry_advice.map(|most| soon.min(most));
         self.out.push(if refusable { Action::Refuse { id, come_back } } else { Action::Fail(id) });
         self.end(id);
@@ -784,11 +787,12 @@
             self.out.push(Action::Subscribe(true));
         }
         if self.time_used > FULL_TIME {
-            let least = 4.0f64.max(2.0 * self.machines.len() as f64 / f64::from(self.config.fronts));
-            self.limit = (self.limit.min(f64::from(self.open)) * 0.99).max(least);
+            let each = LEAST_EACH * self.machines.len() as f64 / f64::from(self.config.fronts);
+            self.limit =
+                (self.limit.min(f64::from(self.open)) * (1.0 - LIMIT_STEP)).max(LEAST_OPEN.max(each));
             self.log("limit", || "answers come late: fewer requests let in".into());
         } else if self.time_used < FREE_TIME {
-            self.limit = (self.limit * 1.01).min(1e6);
+            self.limit = (self.limit * (1.0 + LIMIT_STEP)).min(MOST_OPEN);
         }
         (self.records.len() > RECORDS).then(|| self.records.pop_first());
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -288,6 +288,13 @@
     Withdrawn,
 }
 
+impl Phase {
+    /// Whether the build serves or may come to: neither going back nor taken off.
+    pub fn stands(self) -> bool {
+        matches!(self, Phase::Trial | Phase::Released)
+    }
+}
+
 /// What the platform says of the newest build.
 #[derive(Debug, Clone, Copy)]
 pub struct Stage {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,9 +7,9 @@
 /// Attempts or requests of the last span, counted by class.
 #[derive(Default)]
 pub(crate) struct Window {
-    pub(crate) span: Micros,
-    pub(crate) log: VecDeque<(Micros, ClassId)>,
-    pub(crate) counts: Vec<u32>,
+    span: Micros,
+    log: VecDeque<(Micros, ClassId)>,
+    counts: Vec<u32>,
 }
 
 impl Window {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -98,11 +98,15 @@
     }
 
     pub fn request(&mut self, class: ClassId) -> (RequestId, Vec<Action>) {
+        self.request_on(class, None)
+    }
+
+    pub fn request_on(&mut self, class: ClassId, key: Option<KeyId>) -> (RequestId, Vec<Action>) {
         let hint = Some(100 * MS);
         self.next += 1;
         let id = RequestId(self.next);
         let deadline = self.now + 1_000 * MS;
-        let request = Request { id, class, tenant: None, key: None, deadline, hint, repeat: false };
+        let request = Request { id, class, tenant: None, key, deadline, hint, repeat: false };
         (id, self.send(Event::Request(request)))
     }
 
@@ -116,6 +120,19 @@
         self.send(Event::Timer(0))
     }
 
+    /// A tick; the votes cast in it, each answered as counted.
+    pub fn tick_votes(&mut self, ms: Micros) -> Vec<Verdict> {
+        let cast = self.tick(ms).into_iter().filter_map(|action| match action {
+            Action::Vote { verdict, .. } => Some(verdict),
+            _ => None,
+        });
+        let votes: Vec<Verdict> = cast.collect();
+        for _ in &votes {
+            self.send(Event::Voted(Ballot::Counted, None));
+        }
+        votes
+    }
+
     /// Sends a request and lets its first attempt end as `fate` says of its machine.
     pub fn serve(&mut self, class: ClassId, fate: impl Fn(MachineId) -> Outcome) -> Option<MachineId> {
         let (id, out) = self.request(class);
@@ -140,13 +157,7 @@
             for class in [READ, BOOK, PAY] {
                 self.serve(class, |m| fate(class, m));
             }
-            let out = self.tick(22);
-            for action in &out {
-                if let Action::Vote { verdict, .. } = action {
-                    votes.push(*verdict);
-                    self.send(Event::Voted(Ballot::Counted, None));
-                }
-            }
+            votes.extend(self.tick_votes(22));
         }
         votes
     }
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -126,12 +126,7 @@
                 rig.done(id, 0, Outcome::Served, lag);
             }
         }
-        for action in rig.tick(25) {
-            if let Action::Vote { verdict, .. } = action {
-                votes.push(verdict);
-                rig.send(Event::Voted(Ballot::Counted, None));
-            }
-        }
+        votes.extend(rig.tick_votes(25));
     }
     votes
 }
@@ -174,10 +169,9 @@
                 rig.done(id, 0, Outcome::Served, if machine.0 >= 8 { 120 * MS } else { 40 * MS });
             }
         }
-        votes.extend(rig.tick(25).into_iter().filter(|a| matches!(a, Action::Vote { .. })));
-        rig.send(Event::Voted(Ballot::Counted, None));
+        votes.extend(rig.tick_votes(25));
     }
-    assert!(votes.iter().any(|v| matches!(v, Action::Vote { verdict: Verdict::Back, .. })), "{votes:?}");
+    assert!(votes.contains(&Verdict::Back), "{votes:?}");
 }
 
 #[test]
@@ -188,10 +182,9 @@
         if let Some(machine) = rig.serve(READ, |_| Outcome::Served).filter(|m| m.0 >= 8) {
             rig.send(Event::Flagged { machine, class: READ, age: 10 * MS });
         }
-        votes.extend(rig.tick(25));
-        rig.send(Event::Voted(Ballot::Counted, None));
+        votes.extend(rig.tick_votes(25));
     }
-    assert!(votes.iter().any(|v| matches!(v, Action::Vote { verdict: Verdict::Back, .. })), "{votes:?}");
+    assert!(votes.contains(&Verdict::Back), "{votes:?}");
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -85,11 +85,8 @@
     one_way.rollout.one_way = true;
     let mut rig = Rig::on_trial(one_way, vec![entry(1, NEW)]);
     let ask = |rig: &mut Rig, key: u32| {
-        rig.next += 1;
-        let (id, deadline) = (RequestId(rig.next), rig.now + 1_000 * MS);
-        let key = Some(KeyId(key));
-        let request = Request { id, class: READ, tenant: None, key, deadline, hint: None, repeat: false };
-        (id, placed(&rig.send(Event::Request(request))))
+        let (id, out) = rig.request_on(READ, Some(KeyId(key)));
+        (id, placed(&out))
     };
     let (id, first) = ask(&mut rig, 5);
     assert_eq!(first, Some(MachineId(1)));
--- a/tests/votes.rs
+++ b/tests/votes.rs
@@ -90,12 +90,8 @@
     let mut cast = Vec::new();
     for _ in 0..400 {
         rig.serve(READ, |_| Outcome::Served);
-        for action in rig.tick(25) {
-            if matches!(action, Action::Vote { .. }) {
-                cast.push(rig.now);
-                rig.send(Event::Voted(Ballot::Counted, None));
-            }
-        }
+        let votes = rig.tick_votes(25);
+        cast.extend(votes.iter().map(|_| rig.now));
     }
     let gaps: Vec<Micros> = cast.windows(2).map(|w| w[1] - w[0]).collect();
     assert!(!gaps.is_empty() && gaps.iter().all(|g| *g < 3_000 * MS && *g > 1_500 * MS), "{gaps:?}");
