--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -442,6 +442,7 @@
             one_way: s.specifics.no_return,
             vote_life: micros(s.specifics.ballot_ttl),
             vote_wait: micros(s.specifics.vote_wait),
+            back_votes: s.specifics.back_votes,
             votes_per_s: s.specifics.api_rate,
             step: micros(s.specifics.moves_after),
             delay_price: s.specifics.delay_price,
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -312,6 +312,8 @@
 pub struct Specifics {
     #[serde(default)]
     pub api_rate: f64,
+    #[serde(default)]
+    pub back_votes: u32,
     pub ballot_ttl: f64,
     #[serde(default)]
     pub counted_by: String,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! Every decision of garnetcrank and every tuned constant. What goes in and out is in `src/interface.rs`,
 //! the plain data kept in between in `src/state.rs`. The mechanism is that of docs/design.md.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use fastrand::Rng;
 
@@ -15,7 +15,6 @@
 const RECENT: usize = 20; // outcomes a class is judged by: older ones say what was, not what is
 const JUDGED_FROM: usize = 10; // outcomes below which a class is unjudged: a verdict on less is chance
 const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's
-const RECOVERED: f64 = 0.5; // part of a bar that a failure must fall under to end: no flicker about the bar
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
 const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
@@ -23,9 +22,12 @@
 const KEPT: usize = 60; // outcomes kept a class, for the earlier build's share and for breadth
 const ALIVE: Micros = 4 * SECOND; // the earlier build can be compared with for so long after an outcome
 const SLOWER: f64 = 0.3; // logarithm by which a build must surely be slower to fail by its times: 1.35
-const SURELY: f64 = 2.5; // standard errors taken off a difference before it counts
+const SURELY: f64 = 2.5; // standard errors taken off a difference before it counts ...
+const AGREED: f64 = 0.5; // ... less so many by each e-fold of fronts that must agree before a build goes
+const TIMED_FROM: usize = 4; // comparable times below which a build is never judged by them
+const CHANCE: f64 = 0.5; // logarithm by which single times differ at the least, whatever a few show
+const PLAIN: f64 = 3.0; // errors that judge a class before its ten outcomes: no chance brings so many
 const SPREAD: f64 = 0.2; // logarithm by which good machines of a kind differ, by speed and by others' load
-const LONE: u64 = 3; // evidence of one machine alone must stay failed this many times as long
 
 const DOSE: std::ops::Range<f64> = 0.1..0.5; // shares of the fleet at which withholding a build can tell
 const SETTLE: Micros = 1_500 * MS; // how long the fleet takes to show that a build is withheld, or is back
@@ -37,14 +39,13 @@
 const VOTE_PATIENCE: Micros = 2 * SECOND; // ... up to this: all instances share the platform's rate
 
 // Machines.
-const ASK_FIRST: Micros = SECOND; // mean wait before the fleet list is asked for again, doubled each time ...
-const ASK_MOST: Micros = 4 * SECOND; // ... up to this: one registry serves all instances
-const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and fault share
-const FORGET: f64 = 0.9965; // a pace fades so each tick, by half in 5 s: a slow machine is tried again
+const AGAIN_FIRST: Micros = SECOND; // first ejection, and mean wait to ask for the list again, doubled ...
+const AGAIN_MOST: Micros = 4 * SECOND; // ... up to this: a machine may be back, the registry serves all
+const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and faults, and in misses
+const FORGET: Micros = 5 * SECOND; // a pace fades by half in so long: a slow machine is tried again
+const LOOKED_AT: usize = 8; // machines drawn a placement: enough to tell whether most are in good health
+const FAR: f64 = 0.5; // logarithm by which a zone must be slower of late than another to be left out
 const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
-const EJECT_AGAIN: f64 = 0.45; // fault share on the way back: one more fault is enough to leave again
-const EJECT_FIRST: Micros = SECOND; // first ejection, doubled with each in a row ...
-const EJECT_MOST: Micros = 8 * SECOND; // ... up to this
 const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
 const CROSSING: f64 = 2.5; // how much heavier a machine in another zone counts where crossing has a price
 const UNKNOWN_WORK: f64 = 50.0 * MS as f64; // work of a request while no hint or time is known
@@ -56,17 +57,19 @@
 const RETRY_SAVED: f64 = 10.0; // most retries saved up
 const FULL_TIME: f64 = 0.55; // mean time over aim above which fewer requests are let in: queues build up
 const FREE_TIME: f64 = 0.45; // and below which more are
-const TIME_NEWEST: f64 = 0.05; // weight of the newest outcome in that mean
-const TENANT_NEWEST: f64 = 0.01; // weight of the newest request in a tenant's part of the traffic
+const TIME_NEWEST: f64 = 0.05; // weight of the newest outcome in that mean, and in a zone's pace
+const PART_NEWEST: f64 = 0.01; // weight of the newest request in a tenant's part of the traffic
+const HOPELESS: f64 = 0.75; // smoothed share of misses above which a class or tenant is mostly refused
+const TRICKLE: f64 = 0.1; // share of its requests still let in, to see when the trouble ends
 const OVER_SHARE: f64 = 1.25; // multiple of its share from which a tenant is served after the others
 const LIMIT_STEP: f64 = 0.01; // by how much the limit moves a tick: quicker, it swings
-const LEAST_OPEN: f64 = 4.0; // lowest limit, lest too few outcomes tell that room is back ...
-const LEAST_EACH: f64 = 2.0; // ... and so many for each machine, over the fronts
+const LEAST_OPEN: f64 = 2.0; // lowest limit for each machine, over the fronts: some outcomes must tell
+const LEAST_HERE: f64 = 4.0; // ... and lowest at one front, which else serves one after another
 const MOST_OPEN: f64 = 1e6; // highest limit, from which it still falls in time
 const CHEAP_ROOM: f64 = 0.7; // part of the limit open to requests worth nothing; the dearest use all
 const COME_BACK: f64 = 0.2; // share of the aim after which a refused client should try again, on average
-const TICK: Micros = 25 * MS; // housekeeping period: votes, waiting requests, the limit
-const LOG_GAP: Micros = 5 * SECOND; // shortest gap between log lines of one kind
+const TICK: Micros = 25 * MS; // housekeeping period: verdict, votes, the limit
+const TELLERS: f64 = 8.0; // fronts, on average, that log what all of them see
 
 /// The decisions of one instance: a state machine over events and the clock that comes with them.
 #[derive(Default)]
@@ -77,6 +80,7 @@
     out: Vec<Action>,
     started: bool,
     machines: BTreeMap<MachineId, Machine>,
+    listed: Vec<MachineId>, // those that run, in the order of the latest draws
     ask_at: Option<Micros>,
     ask_wait: Micros,
     news: Option<Stage>,
@@ -91,14 +95,14 @@
     vote_not_before: Micros,
     vote_wait: Micros,
     held: BTreeMap<RequestId, Held>,
-    waiting: VecDeque<RequestId>,
     retries: f64,
     open: u32,
     limit: f64,
-    time_used: f64, // smoothed time over aim of all outcomes
-    usual: BTreeMap<(ClassId, Option<KindId>), (f64, u32)>, // logarithm of time over hint, and how many
-    tenant_rate: Vec<f64>,
-    logged: BTreeMap<&'static str, Micros>,
+    time_used: f64,                                   // smoothed time over aim of all outcomes
+    usual: BTreeMap<(ClassId, Option<KindId>), Pace>, // logarithm of time over hint
+    paces: BTreeMap<ZoneId, Pace>,
+    tells: bool,        // one of the fronts that log what all see
+    groups: Vec<Group>, // the classes, then the tenants
 }
 
 impl Brain {
@@ -106,14 +110,17 @@
     pub fn new(seed: u64, config: Config) -> Self {
         // A tick short, as attempts are counted a tick long: rounding never favours us.
         let span = config.rollout.window.saturating_sub(config.resolution);
+        let mut rng = Rng::with_seed(seed);
         Brain {
-            rng: Rng::with_seed(seed),
-            ask_wait: ASK_FIRST,
+            tells: rng.f64() * f64::from(config.fronts) < TELLERS,
+            rng,
+            ask_at: config.ask_for_fleet.then_some(0),
+            ask_wait: AGAIN_FIRST,
             requests: Window::new(span, config.classes.len()),
             vote_wait: VOTE_AGAIN,
             retries: RETRY_SAVED,
             limit: f64::INFINITY,
-            tenant_rate: vec![0.0; config.tenants.len()],
+            groups: vec![Group::default(); config.classes.len() + config.tenants.len()],
             config,
             ..Self::default()
         }
@@ -125,7 +132,6 @@
         if !self.started {
             self.started = true;
             self.out.push(Action::SetTimer { after: TICK, token: 0 });
-            self.ask_at = self.config.ask_for_fleet.then_some(now);
         }
         match event {
             Event::Fleet(news) => self.fleet(news),
@@ -137,10 +143,11 @@
             Event::Stage(stage) => self.stage(stage),
             Event::Voted(ballot, stage) => self.voted(ballot, stage),
             Event::Flagged { machine, class, age } => {
-                let seen = Seen { at: now, outcome: Outcome::Error, slower: None, machine };
-                if let Some(build) = self.machines.get(&machine).map(|m| m.entry.build) {
-                    self.put_on_record(class, build, seen, now.saturating_sub(age));
-                }
+                let seen = Seen { at: now, outcome: Outcome::Error, slower: None, excess: None, machine };
+                let build = self.machines.get(&machine).map(|m| m.entry.build);
+                build
+                    .into_iter()
+                    .for_each(|b| self.record(b).add(class, seen, now.saturating_sub(age), KEPT));
             }
             Event::Tally { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
@@ -154,7 +161,7 @@
             Fleet::Unreachable => {
                 let wait = self.ask_wait / 2 + self.rng.u64(0..self.ask_wait);
                 self.ask_at = self.config.ask_for_fleet.then_some(self.now + wait);
-                self.ask_wait = (self.ask_wait * 2).min(ASK_MOST);
+                self.ask_wait = (self.ask_wait * 2).min(AGAIN_MOST);
                 return;
             }
             Fleet::Changes(entries) => (entries, false),
@@ -164,11 +171,12 @@
             }
         };
         if !saved {
-            (self.ask_at, self.ask_wait) = (None, ASK_FIRST);
+            (self.ask_at, self.ask_wait) = (None, AGAIN_FIRST);
         }
         for entry in entries {
             self.record(entry.build);
-            let fresh = || Machine { entry, ejection: EJECT_FIRST, ..Machine::default() };
+            let phase = self.rng.f64();
+            let fresh = || Machine { entry, phase, ejection: AGAIN_FIRST, ..Machine::default() };
             let machine = self.machines.entry(entry.machine).or_insert_with(fresh);
             if machine.entry.started != entry.started || machine.entry.build != entry.build {
                 // Another process: what was known of the earlier one is void, what is in flight is not.
@@ -180,6 +188,7 @@
             machine.listed = listed;
         }
         self.machines.retain(|_, m| m.listed || m.open > 0);
+        self.listed = self.machines.iter().filter(|(_, m)| m.listed).map(|(id, _)| *id).collect();
     }
 
     /// How much of its capacity a machine surely has; none: long warm.
@@ -190,32 +199,31 @@
 
     /// Expected work of a request: its hint, else the usual time of its class (which errs upwards).
     fn work(&self, request: &Request) -> f64 {
-        let usual = || self.usual.get(&(request.class, None)).map_or(UNKNOWN_WORK, |u| u.0.exp());
+        let usual = || self.usual.get(&(request.class, None)).map_or(UNKNOWN_WORK, |u| u.mean.exp());
         request.hint.map_or_else(usual, |h| h as f64)
     }
 
     /// Notes what an attempt tells of its machine: its pace, its faults, and whether to eject it.
     fn machine_outcome(&mut self, id: MachineId, outcome: Outcome, slower: f64) {
         let now = self.now;
-        let trial = self.machines.get(&id).is_some_and(|m| self.on_trial(m.entry.build));
+        let Some(m) = self.machines.get(&id) else { return };
+        let (trial, faded) = (self.on_trial(m.entry.build), self.pace(m));
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let fault = outcome != Outcome::Served;
         let sample = if fault { slower.max(FAULT_PACE) } else { slower };
-        machine.pace += (sample - machine.pace) * NEWEST;
+        (machine.pace, machine.paced_at) = (faded + (sample - faded) * NEWEST, now);
         machine.faults += (f64::from(u8::from(fault)) - machine.faults) * NEWEST;
         // A machine that can't be reached costs a connect time-out a try: out at once. One that fails goes
         // once it fails most; not one of a build on trial, whose failures are the judge's evidence.
-        let dead = matches!(outcome, Outcome::Unreached | Outcome::Broken);
+        let dead = outcome == Outcome::Unreached;
         let failing = machine.faults > EJECT_ABOVE && !trial;
         if !fault {
-            machine.ejection = EJECT_FIRST;
+            machine.ejection = AGAIN_FIRST;
         } else if (dead || failing) && now >= machine.ejected_until {
             let span = machine.ejection;
-            machine.ejected_until = now + span;
-            machine.dead = dead;
-            machine.ejection = (span * 2).min(EJECT_MOST);
-            machine.faults = EJECT_AGAIN;
-            self.log("eject", || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
+            (machine.dead, machine.faults, machine.ejected_until) = (dead, EJECT_ABOVE, now + span);
+            machine.ejection = (span * 2).min(AGAIN_MOST);
+            self.log(false, || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
         }
     }
 
@@ -230,20 +238,9 @@
     }
 
     fn record(&mut self, build: Build) -> &mut Record {
-        let classes = self.config.classes.len();
-        let (born, span) = (self.now, self.config.rollout.window + self.config.resolution);
-        self.records.entry(build).or_insert_with(|| Record {
-            state: State::Soaking,
-            born,
-            last_seen: 0,
-            suspected: None,
-            cleared: None,
-            steps: Default::default(),
-            seen: vec![VecDeque::new(); classes + 1],
-            marks: vec![Mark::Unjudged; classes + 3],
-            failing_since: vec![None; classes + 3],
-            attempts: Window::new(span, classes),
-        })
+        let (now, classes) = (self.now, self.config.classes.len());
+        let span = self.config.rollout.window + self.config.resolution;
+        self.records.entry(build).or_insert_with(|| Record::new(now, classes, span))
     }
 
     /// The build that a trial is measured against: the newest earlier one with outcomes of its own.
@@ -252,19 +249,6 @@
         self.records.range(..build).rev().map(|(_, r)| r).find(served)
     }
 
-    fn put_on_record(&mut self, class: ClassId, build: Build, seen: Seen, sent: Micros) {
-        let record = self.record(build);
-        if sent < record.born {
-            return;
-        }
-        record.last_seen = seen.at;
-        for of in [class.0, record.seen.len() - 1] {
-            let ring = &mut record.seen[of];
-            ring.push_back(seen);
-            (ring.len() > KEPT).then(|| ring.pop_front());
-        }
-    }
-
     /// Marks a class by the share of its failures over the last outcomes, against the earlier build's.
     fn judge_class(&self, record: &Record, earlier: Option<&Record>, class: usize) -> Mark {
         // Danger: time-outs come from load or a stall as easily as from a build, so they count only as far as
@@ -275,116 +259,118 @@
         let failed = |s: &Seen| wrong(s) || late(s);
         let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, failed));
         let seen = &record.seen[class];
-        let (n, lates, bar) = (seen.len().min(RECENT), share(seen, RECENT, late), self.bar(record, class));
-        let surely = (lates - SURELY * (lates / n as f64).sqrt()).max(0.0);
-        match n >= JUDGED_FROM {
+        let (n, lates) = (seen.len().min(RECENT), share(seen, RECENT, late));
+        let surely = (lates - self.surely().0 * (lates / n as f64).sqrt()).max(0.0);
+        let wrongs = share(seen, RECENT, wrong);
+        match n >= JUDGED_FROM || wrongs * n as f64 >= PLAIN {
             false => Mark::Unjudged,
-            true if share(seen, RECENT, wrong) + surely <= before + MARGIN * bar => Mark::Pass,
+            true if wrongs + surely <= before + MARGIN => Mark::Pass,
             true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
         }
     }
 
-    fn bar(&self, record: &Record, mark: usize) -> f64 {
-        if matches!(record.marks[mark], Mark::Fail { .. }) { RECOVERED } else { 1.0 }
-    }
-
     fn times(&self, record: Option<&Record>) -> Vec<(MachineId, f64)> {
-        let seen = record.into_iter().flat_map(|r| r.seen.iter().take(self.config.classes.len()).flatten());
+        let seen = record.into_iter().flat_map(|r| &r.seen[self.config.classes.len()]);
         seen.filter(|s| s.at + ALIVE > self.now).filter_map(|s| Some((s.machine, s.slower?))).collect()
     }
 
+    /// How sure a front must be, and from how many times. Danger: a front with a handful of outcomes a stage
+    /// never is. Where many must agree they guard against its chance. Harm: a trouble misleads many alike.
+    fn surely(&self) -> (f64, usize) {
+        let votes = self.config.rollout.back_votes.max(1);
+        let enough = (RECENT / votes as usize).max(TIMED_FROM);
+        ((SURELY - AGREED * f64::from(votes).ln()).max(1.0), enough)
+    }
+
     /// Marks a build's times, all classes together: each outcome as its logarithm over the usual of its
-    /// class and kind, cold machines left out, beside the earlier build's of the same moments.
+    /// class and kind, and over what the released builds took in its zone at that moment.
     /// Danger: a build that is only slow passes by its errors until it takes the fleet down.
-    fn judge_times(&self, record: &Record, old: Level) -> Mark {
-        let times = self.times(Some(record));
+    fn judge_times(&self, record: &Record) -> Mark {
+        let last = record.seen[self.config.classes.len()].iter();
+        let times: Vec<_> = last.filter_map(|s| Some((s.machine, s.excess?))).collect();
         let new = Level::of(&times);
-        // However many outcomes, a build's few machines may be slow ones.
-        let spread = SPREAD * (1.0 / new.machines + 1.0 / old.machines).sqrt();
-        let error = new.error.hypot(old.error).hypot(spread);
-        match new.count.min(old.count) >= RECENT {
+        // However many outcomes, a build's few machines may be slow ones, and the pace is no certainty.
+        let error = new.chance(CHANCE).hypot(SPREAD * (1.0 / new.machines + 0.5).sqrt());
+        // A failure starts once it is sure, and ends once it is not even likely.
+        let failing = record.failing_since[self.config.classes.len() + 1].is_some();
+        let (surely, enough) = self.surely();
+        match new.count >= enough {
             false => Mark::Unjudged,
-            true if new.mean - old.mean - SURELY * error <= SLOWER => Mark::Pass,
-            true => breadth(times.into_iter(), old.mean + SLOWER),
+            true if new.mean - if failing { 0.0 } else { surely * error } <= SLOWER => Mark::Pass,
+            true => breadth(times.into_iter(), SLOWER),
         }
     }
 
-    /// Marks a build by what it does to the machines of the earlier one. Once these are surely much slower
-    /// than before the trial, the clock is held and the build withheld for the sustained time: a rise that
-    /// goes, and comes back with the build, is its doing; any other is a trouble of the fleet. All fronts
-    /// see the rise at about the same time, so that they withhold together without a word to each other.
-    /// Danger: a build that slows old and new alike looks no worse than the earlier one. Harm: 3 s of hold
-    /// on a good build; a trouble that comes and goes within seconds.
-    fn judge_fleet(&mut self, stage: Stage, old: Level) -> Mark {
-        let (now, build) = (self.now, stage.build);
-        let dose = self.config.rollout.stages.get(stage.stage).is_some_and(|s| DOSE.contains(s));
-        let Some(record) = self.records.get(&build).filter(|_| stage.phase == Phase::Trial && dose) else {
+    /// Marks a build by what it does to the earlier one's machines. Once these are surely much slower than
+    /// before the trial, the clock is held and the build withheld for 3 s: a rise that goes, and comes back
+    /// with the build, is its doing. All fronts see it at about the same time and withhold together.
+    /// Danger: a build slows old and new alike. Harm: a hold on a good build; a trouble in step by chance.
+    fn judge_fleet(&mut self, stage: Stage) -> Mark {
+        let (now, build, (surely, enough)) = (self.now, stage.build, self.surely());
+        if stage.phase != Phase::Trial
+            || !self.config.rollout.stages.get(stage.stage).is_some_and(|s| DOSE.contains(s))
+        {
             return Mark::Unjudged;
-        };
-        let Some((since, raised)) = record.suspected else {
-            let raised = old.count >= RECENT && old.mean - SURELY * old.error > RAISED;
-            let settled = self.replaced > self.staged && now > self.replaced + SETTLE;
+        }
+        let old = Level::of(&self.times(self.earlier(build)));
+        let raised = old.count >= JUDGED_FROM && old.mean - surely * old.chance(CHANCE) > RAISED;
+        let (replaced, settled) =
+            (self.replaced, self.replaced > self.staged && now > self.replaced + SETTLE);
+        let record = self.record(build);
+        let Some((since, rise)) = record.suspected else {
             if raised && settled && record.cleared != Some(stage.stage) {
-                let record = self.record(build);
                 (record.suspected, record.steps) = (Some((now, old.mean)), Default::default());
-                self.log("suspect", || format!("all machines slower: withholding build {} for 3 s", build.0));
+                self.log(true, || format!("all machines slower: withholding build {} for 3 s", build.0));
             }
             return Mark::Unjudged;
         };
-        let last = |step: &Vec<_>| Level::of(&step[step.len().saturating_sub(KEPT)..]);
-        let [without, with] = record.steps.each_ref().map(last);
-        let (age, void, least) = (now - since, self.replaced > since, IN_STEP * raised);
-        // Machines that come or go change the times by themselves: such a test tells nothing.
-        if age < SUSTAINED || void {
-            self.record(build).suspected = Some((since, raised)).filter(|_| !void);
-            return Mark::Unjudged;
-        }
-        if without.count >= RECENT && raised - without.mean > least && age < 2 * SUSTAINED {
-            let surely = SURELY * with.error.hypot(without.error);
-            let back = with.count >= RECENT && with.mean - without.mean > least.max(surely);
-            return if back { Mark::Fail { lone: false } } else { Mark::Unjudged };
+        let [without, with] = record.steps.each_ref().map(|step| Level::of(step));
+        let least = IN_STEP * rise;
+        let sure = least.max(surely * with.chance(CHANCE).hypot(without.chance(CHANCE)));
+        let goes = without.count >= enough && rise - without.mean > least;
+        let back = with.count >= enough && with.mean - without.mean > sure;
+        match now - since {
+            // Machines that come or go change the times by themselves: such a test tells nothing.
+            _ if replaced > since => record.suspected = None,
+            0..SUSTAINED => {}
+            // Alone it looks once, at the end: who looks again and again finds something by chance.
+            age if goes && back && (age >= 2 * SUSTAINED || enough < RECENT) => return Mark::Fail,
+            age if goes && age < 2 * SUSTAINED => {}
+            _ => {
+                (record.suspected, record.cleared) = (None, Some(stage.stage));
+                self.log(true, || format!("build {} cleared of slowing all machines", build.0));
+            }
         }
-        let record = self.record(build);
-        (record.suspected, record.cleared) = (None, Some(stage.stage));
-        self.log("clear", || {
-            format!("build {} cleared: {raised:.2} with it, {:.2} without", build.0, without.mean)
-        });
-        Mark::Pass
+        Mark::Unjudged
     }
 
     /// Brings the record of the newest build up to date: marks, failure timers, state.
     fn judge(&mut self) {
         let Some(news) = self.news.filter(|n| n.phase.stands()) else { return };
         let (now, build, classes) = (self.now, news.build, self.config.classes.len());
-        let old = Level::of(&self.times(self.earlier(build)));
-        let fleet = self.judge_fleet(news, old);
+        let fleet = self.judge_fleet(news);
         let Some(record) = self.records.get(&build).filter(|r| r.state == State::Soaking) else { return };
         let earlier = self.earlier(build);
         let mut marks: Vec<Mark> = (0..=classes).map(|c| self.judge_class(record, earlier, c)).collect();
-        // One class failing where another passes is the build, not the machine.
-        let passes = marks.contains(&Mark::Pass);
-        marks.extend([self.judge_times(record, old), fleet]);
+        marks.extend([self.judge_times(record), fleet]);
         let record = self.record(build);
+        record.judged = marks[..classes].iter().any(|m| *m != Mark::Unjudged);
         let mut sustained = None;
         for (i, mark) in marks.into_iter().enumerate() {
-            record.marks[i] = mark;
-            let Mark::Fail { lone } = mark else {
+            if mark != Mark::Fail {
                 record.failing_since[i] = None;
                 continue;
-            };
+            }
             // What the fleet showed has been running since the build was suspected.
             let began = record.suspected.filter(|_| i > classes + 1).map_or(now, |s| s.0);
             let since = *record.failing_since[i].get_or_insert(began);
-            let doubted = lone && !(i < classes && passes);
-            if now - since >= if doubted { LONE * SUSTAINED } else { SUSTAINED } {
-                sustained = Some(i);
-            }
+            sustained = sustained.or((now - since >= SUSTAINED).then_some(i));
         }
         if let Some(i) = sustained {
             record.state = State::Failed;
             let other = ["all classes together", "its times", "the fleet's times"][i.saturating_sub(classes)];
             let what = self.config.classes.get(i).map_or(other, |c| &c.name).to_owned();
-            self.log("verdict", || format!("build {}: {what} stayed failed, voting back", build.0));
+            self.log(true, || format!("build {}: {what} stayed failed, voting back", build.0));
         }
     }
 
@@ -396,8 +382,7 @@
         let state = |s: Stage| (s.build, s.stage, s.phase);
         if before.map(state) != Some(state(stage)) {
             self.staged = self.now;
-            let Stage { build, stage, phase, cap, .. } = stage;
-            self.log("news", || format!("build {} stage {stage}: {phase:?}, cap {cap}", build.0));
+            self.log(false, || format!("build {} stage {}: {:?}", stage.build.0, stage.stage, stage.phase));
         }
         self.recount_at = match before.filter(|b| b.build == stage.build) {
             Some(before) if stage.cap < before.cap => Some(self.now + self.config.drain_grace),
@@ -412,35 +397,26 @@
         let record = self.records.get(&news.build)?;
         let vote = |verdict| Some(Vote { build: news.build, stage: news.stage, verdict });
         let timer = self.config.rollout.mode == VoteMode::Timer;
-        if record.state == State::Failed {
-            return vote(Verdict::Back);
-        }
-        if news.phase == Phase::Released {
-            return None;
-        }
-        let failing = record.failing_since.iter().flatten().min();
-        if record.suspected.is_some() || failing.is_some() {
-            // Past the sustained time a failure still open rests on one machine: the clock goes on, so
-            // that the next stage brings another machine to tell.
-            let holds = record.suspected.is_some() || failing.is_some_and(|s| self.now - s <= SUSTAINED);
-            return if timer && holds { vote(Verdict::Hold) } else { None };
-        }
-        let judged = record.marks[..self.config.classes.len()].iter().any(|m| *m != Mark::Unjudged);
+        let failing = record.suspected.is_some() || record.failing_since.iter().any(Option::is_some);
         let trial = self.machines.values().filter(|m| m.listed && m.entry.build == news.build);
-        let latest = trial.filter_map(|m| m.entry.started).max().unwrap_or(record.born);
-        if judged && !timer && self.now >= latest + SUSTAINED { vote(Verdict::On) } else { None }
+        let latest = || trial.filter_map(|m| m.entry.started).max().unwrap_or(record.born);
+        match news.phase {
+            _ if record.state == State::Failed => vote(Verdict::Back),
+            Phase::Released => None,
+            _ if failing => vote(Verdict::Hold).filter(|_| timer),
+            _ if timer || !record.judged || self.now < latest() + SUSTAINED => None,
+            _ => vote(Verdict::On),
+        }
     }
 
     fn vote(&mut self) {
         let (now, wait, life) = (self.now, self.config.rollout.vote_wait, self.config.rollout.vote_life);
-        if let Some((_, at)) = self.pending {
-            if now < at + 2 * wait {
-                return;
-            }
-            self.pending = None;
+        if self.pending.is_some_and(|(_, at)| now < at + 2 * wait) {
+            return;
+        } else if self.pending.take().is_some() {
             self.vote_later();
         }
-        // The answer to a renewal must arrive while the vote still stands.
+        // The answer to a renewal must arrive while the vote stands.
         let renew = RENEW.min(life.saturating_sub(wait + 4 * TICK).max(life / 2));
         let standing = self.standing.filter(|(_, at)| now < at + life);
         let vote = match (self.wish(), standing) {
@@ -458,9 +434,8 @@
         self.pending = Some((vote, now));
         let Vote { build, stage, verdict } = vote;
         self.out.push(Action::Vote { build, stage, verdict });
-        if standing.is_none_or(|(before, _)| before.verdict != verdict) {
-            self.log("vote", || format!("vote {verdict:?} on build {} stage {stage}", build.0));
-        }
+        let changed = standing.is_none_or(|(before, _)| before.verdict != verdict);
+        self.log(changed, || format!("vote {verdict:?} on build {} stage {stage}", build.0));
     }
 
     fn vote_later(&mut self) {
@@ -480,9 +455,7 @@
                 _ => self.vote_later(),
             }
         }
-        if let Some(stage) = stage {
-            self.stage(stage);
-        }
+        stage.into_iter().for_each(|s| self.stage(s));
     }
 
     // ---- Eligibility: one guard per rule, and the only way to a placement ----
@@ -500,10 +473,9 @@
             self.records.values_mut().for_each(|r| r.attempts.clear());
         }
         let rollout = &self.config.rollout;
-        let (stage, cap) = match self.news.filter(|n| n.build == build) {
-            Some(news) => (news.stage, news.cap),
-            None => (0, rollout.caps.first().copied().unwrap_or(0.0)),
-        };
+        let first = rollout.caps.first().copied().unwrap_or(0.0);
+        let news = self.news.filter(|n| n.build == build);
+        let (stage, cap) = news.map_or((0, first), |n| (n.stage, n.cap));
         let safe = self.config.classes[class.0].effect == Effect::Safe;
         if cap <= 0.0 || (stage < rollout.guarded_stages && !safe) {
             return false;
@@ -513,28 +485,28 @@
         self.record(build).attempts.count(now, counted) + 1.0 <= allowed
     }
 
-    /// Rule 4: this front's part of a cold machine's budget, as if all fronts sent alike: the multiple of
-    /// what one standard core surely does, over the fall window. Harm: a busy front can't use its
-    /// neighbours' parts, so new machines fill slowly there.
+    /// Rule 4: this front's part of a cold machine's budget, as if all sent alike: the multiple of what
+    /// one standard core surely does, over the fall window. Danger: hundreds of fronts, one request each: a
+    /// part below that is one in a longer span, from a random moment on. Harm: busy fronts fill it slowly.
     fn cold_allows(&mut self, id: MachineId, work: f64) -> bool {
         let Some(warmth) = self.machines.get(&id).and_then(|m| self.warmth(&m.entry)) else { return true };
-        let (now, window) = (self.now, self.config.fall_window);
-        let whole = self.config.fall_multiple * warmth * window as f64 * COLD_USE;
-        let Some(machine) = self.machines.get_mut(&id) else { return false };
-        while machine.cold_work.pop_front_if(|(at, _)| *at + window < now).is_some() {}
-        let sent: f64 = machine.cold_work.iter().map(|(_, w)| w).sum();
-        machine.cold_work.is_empty() || sent + work <= whole / f64::from(self.config.fronts)
+        let (now, window) = (self.now, self.config.fall_window as f64);
+        let part = COLD_USE * self.config.fall_multiple * warmth * window / f64::from(self.config.fronts);
+        let longer = window * (work / part - 1.0).max(0.0);
+        let Some(m) = self.machines.get_mut(&id) else { return false };
+        while m.cold_work.pop_front_if(|(at, _)| ((now - *at) as f64) > window + longer).is_some() {}
+        let age = now.saturating_sub(m.entry.started.unwrap_or(0)) as f64;
+        let sent: f64 = m.cold_work.iter().map(|(_, w)| w).sum();
+        if m.cold_work.is_empty() { age >= longer * m.phase } else { sent + work <= part }
     }
 
     /// Rule 2: whether a further attempt may go to this machine, given those before it.
     fn repeat_allows(&self, held: &Held, entry: &Entry) -> bool {
         let mut ran = held.attempts.iter().filter(|a| a.may_have_run());
         let Some(first) = ran.clone().map(|a| a.sent).min() else { return true };
-        if !self.config.second_copies && held.attempts.iter().any(|a| a.open()) {
-            return false;
-        }
+        let alone = self.config.second_copies || !held.attempts.iter().any(|a| a.open());
         match self.config.classes[held.request.class.0].effect {
-            Effect::Safe => true,
+            Effect::Safe => alone,
             Effect::Once => false,
             Effect::Keyed { scope, window } => {
                 let with = |a: &Attempt| {
@@ -544,46 +516,31 @@
                         Scope::Cell => m.entry.cell == entry.cell,
                     })
                 };
-                self.now + ON_THE_WAY < first + window && (scope == Scope::All || ran.all(with))
+                alone && self.now + ON_THE_WAY < first + window && (scope == Scope::All || ran.all(with))
             }
         }
     }
 
     /// A key that the trial build has answered goes to no earlier build, where the platform says so.
     fn key_allows(&self, key: Option<KeyId>, build: Build) -> bool {
-        let answered = key.and_then(|k| self.answered_keys.get(&k));
-        answered.is_none_or(|at| {
-            let binds = |n: Stage| n.build == *at && n.phase.stands();
-            build >= *at || !self.news.is_some_and(binds)
-        })
+        let binds = |at: &Build| self.news.is_some_and(|n| n.build == *at && n.phase.stands());
+        key.and_then(|k| self.answered_keys.get(&k)).is_none_or(|at| build >= *at || !binds(at))
     }
 
-    /// All machines that the rules allow for this request: the good ones, those that health advises
-    /// against, and those that could not be reached of late.
-    fn eligible(&mut self, held: &Held) -> [Vec<MachineId>; 3] {
+    /// What health says of a machine that the rules allow for this request; none: a rule forbids it.
+    fn eligible(&mut self, held: &Held, id: MachineId) -> Option<Health> {
         let (class, work) = (held.request.class, self.work(&held.request));
-        let mut exposure: BTreeMap<Build, bool> = BTreeMap::new();
-        let [mut good, mut poor, mut dead] = [const { Vec::new() }; 3];
-        let listed = self.machines.iter().filter(|(_, m)| m.listed);
-        let listed: Vec<_> = listed.map(|(id, m)| (*id, m.entry, m.ejected_until, m.dead)).collect();
-        for (id, entry, ejected_until, unreached) in listed {
-            let build = entry.build;
-            let exposed = *exposure.entry(build).or_insert_with(|| self.exposure_allows(build, class));
-            let keys = self.key_allows(held.request.key, build) && self.repeat_allows(held, &entry);
-            let rules =
-                [("exposure", exposed), ("repeats", keys), ("cold machines", self.cold_allows(id, work))];
-            if let Some((rule, _)) = rules.iter().find(|(_, kept)| !kept) {
-                self.log(rule, || format!("the rule on {rule} keeps requests from machine {}", id.0));
-                continue;
-            }
-            let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
-            match tried || ejected || self.shunned(build) {
-                false => good.push(id),
-                true if ejected && unreached => dead.push(id),
-                true => poor.push(id),
-            }
-        }
-        [good, poor, dead]
+        let &Machine { entry, ejected_until, dead, .. } = self.machines.get(&id)?;
+        let kept = self.exposure_allows(entry.build, class)
+            && self.key_allows(held.request.key, entry.build)
+            && self.repeat_allows(held, &entry)
+            && self.cold_allows(id, work);
+        let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
+        kept.then_some(match tried || ejected || self.shunned(entry.build) {
+            false => Health::Good,
+            true if ejected && dead => Health::Dead,
+            true => Health::Poor,
+        })
     }
 
     /// A build that failed or is withheld is used only for want of others. A class that fails is still sent.
@@ -594,51 +551,99 @@
 
     // ---- Server choice ----
 
-    /// Power of two choices by requests in flight, for size, pace and zone. Machines that health advises
-    /// against are left out unless that would leave less than half: then the trouble is not theirs. Those
-    /// that can't be reached are used only for want of any other: no trouble makes them able to serve.
+    /// Power of two choices by requests in flight, for size, pace and zone, among a few machines drawn. Those
+    /// that health advises against are left out unless they are most; unreachable ones for want of any other.
     fn choose(&mut self, held: &Held) -> Option<MachineId> {
-        let [mut good, poor, dead] = self.eligible(held);
+        let mut found: [Vec<MachineId>; 3] = Default::default();
+        for i in 0..self.listed.len() {
+            if i >= LOOKED_AT && found[0].len() > 1 {
+                break;
+            }
+            let drawn = self.rng.usize(i..self.listed.len());
+            self.listed.swap(i, drawn);
+            let id = self.listed[i];
+            if let Some(health) = self.eligible(held, id) {
+                found[health as usize].push(id);
+            }
+        }
+        let [mut good, poor, dead] = found;
         if good.len() < poor.len() {
             good.extend(poor);
         }
-        let good = if good.is_empty() { dead } else { good };
-        let (a, b) = (self.rng.choice(&good)?, self.rng.choice(&good)?);
-        Some(if self.load(*b) < self.load(*a) { *b } else { *a })
+        // Danger: the way to a zone is slow and lossy; a front meets each machine there too rarely to know.
+        // What else: a zone that is overloaded or cut off. Harm: the other zones carry its load.
+        let best = good.iter().map(|id| self.zone_pace(*id)).fold(f64::INFINITY, f64::min);
+        good.retain(|id| self.zone_pace(*id) <= best + FAR);
+        let mut good = if good.is_empty() { dead } else { good };
+        self.rng.shuffle(&mut good);
+        // Now and then one is drawn alone: a machine that loses every comparison is still tried.
+        good.truncate(if self.rng.usize(0..self.listed.len().max(1)) == 0 { 1 } else { 2 });
+        good.into_iter().min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)))
+    }
+
+    /// How slow a machine's zone is of late; nothing lately: no slower than usual, so that it is tried again.
+    fn zone_pace(&self, id: MachineId) -> f64 {
+        let pace = self.paces.get(&self.machines[&id].entry.zone);
+        pace.filter(|p| p.count >= TIMED_FROM as u32 && p.at + ALIVE > self.now).map_or(0.0, |p| p.mean)
     }
 
     fn load(&self, id: MachineId) -> f64 {
         let machine = &self.machines[&id];
         let across = machine.entry.zone != self.config.zone && self.config.cross_zone_price > 0.0;
         let size = machine.entry.rating.max(0.01) * self.warmth(&machine.entry).unwrap_or(1.0);
-        let waits = f64::from(machine.open + 1) * machine.pace.exp() / size;
+        let waits = f64::from(machine.open + 1) * self.pace(machine).exp() / size;
         waits * if across { CROSSING } else { 1.0 }
     }
 
+    /// A machine's pace fades, so that a slow one is tried again.
+    fn pace(&self, machine: &Machine) -> f64 {
+        machine.pace * 0.5_f64.powf(self.now.saturating_sub(machine.paced_at) as f64 / FORGET as f64)
+    }
+
     // ---- Request life ----
 
     fn request(&mut self, request: Request) {
         self.requests.add(self.now, request.class);
         self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
-        for (i, rate) in self.tenant_rate.iter_mut().enumerate() {
-            *rate += (f64::from(u8::from(request.tenant == Some(TenantId(i)))) - *rate) * TENANT_NEWEST;
+        let own = self.groups_of(&request);
+        for (i, group) in self.groups.iter_mut().enumerate() {
+            group.part += (f64::from(u8::from(own.contains(&Some(i)))) - group.part) * PART_NEWEST;
         }
         let (id, admitted, arrived) = (request.id, self.admits(&request), self.now);
         self.held.insert(id, Held { request, arrived, attempts: Vec::new(), life: Life::Open });
         if admitted { self.place(id) } else { self.give_up(id) }
     }
 
-    /// Refusal early under overload: beyond the limit on open requests, which follows how late answers
-    /// come; the classes of less worth and tenants beyond their share go first.
-    fn admits(&self, request: &Request) -> bool {
+    /// A request's class and tenant, as positions in the groups.
+    fn groups_of(&self, request: &Request) -> [Option<usize>; 2] {
+        [Some(request.class.0), request.tenant.map(|t| self.config.classes.len() + t.0)]
+    }
+
+    /// Whether a class or tenant misses nearly always where another one does not.
+    /// Danger: requests that wait for something of their own hold all slots until every one misses.
+    /// What else: clients that give up too early. Harm: the few that would have made it.
+    fn hopeless(&self, group: usize) -> bool {
+        let (classes, tenants) = self.groups.split_at(self.config.classes.len());
+        let others = if group < classes.len() { classes } else { tenants };
+        self.groups[group].missed > HOPELESS && others.iter().any(|g| g.missed < HOPELESS / 2.0)
+    }
+
+    /// Refusal early: of hopeless requests but a few; under overload beyond the limit on open requests, which
+    /// follows how late answers come, classes of less worth and tenants beyond their share first.
+    fn admits(&mut self, request: &Request) -> bool {
+        let own = self.groups_of(request);
+        if own.iter().flatten().any(|g| self.hopeless(*g)) && self.rng.f64() > TRICKLE {
+            return false;
+        }
         let most = self.config.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
+        let share = request.tenant.map_or(1.0, |t| self.config.tenants[t.0].share);
+        let over = own[1].is_some_and(|g| self.groups[g].part > OVER_SHARE * share);
         let worth = self.config.classes[request.class.0].worth / most;
-        let over = |t: TenantId| self.tenant_rate[t.0] > OVER_SHARE * self.config.tenants[t.0].share;
-        let worth = worth * if request.tenant.is_some_and(over) { self.config.over_share_worth } else { 1.0 };
+        let worth = worth * if over { self.config.over_share_worth } else { 1.0 };
         f64::from(self.open) < self.limit * (CHEAP_ROOM + (1.0 - CHEAP_ROOM) * worth)
     }
 
-    /// Starts an attempt at an eligible machine; without one the request waits a little for one.
+    /// Starts an attempt at an eligible machine; without one the request gets its answer at once.
     fn place(&mut self, id: RequestId) {
         let Some(mut held) = self.held.remove(&id) else { return };
         let (now, choice, work) = (self.now, self.choose(&held), self.work(&held.request));
@@ -646,29 +651,21 @@
         // An answer that earns nothing is not waited for: the work is better spent on others.
         let useful = if class.late_worth > 0.0 { held.request.deadline } else { held.arrived + class.aim };
         let cut = useful < held.request.deadline && !class.streamed;
-        let patience = (held.arrived + class.aim / 2).min(held.request.deadline.saturating_sub(2 * TICK));
         if let Some(machine) = choice {
             let (entry, class) = (self.machines[&machine].entry, held.request.class);
-            let (build, cold) = (entry.build, self.warmth(&entry).is_some());
+            let (build, warmth) = (entry.build, self.warmth(&entry));
             if let Some(m) = self.machines.get_mut(&machine) {
                 m.open += 1;
-                m.cold_work.extend(cold.then_some((now, work)));
+                m.cold_work.extend(warmth.map(|_| (now, work)));
             }
             self.record(build).attempts.add(now, class);
-            held.attempts.push(Attempt { machine, build, sent: now, cold, outcome: None });
-            held.life = Life::Open;
+            held.attempts.push(Attempt { machine, build, sent: now, warmth, outcome: None });
             self.open += 1;
             let time_out = cut.then(|| useful.saturating_sub(now).max(MS));
             self.out.push(Action::Place { id, machine, time_out });
-        } else if now < patience {
-            held.life = Life::Waiting;
-            self.waiting.push_back(id);
         }
         self.held.insert(id, held);
-        if choice.is_none() && now >= patience {
-            self.log("nowhere", || "no machine may take a request: giving up".into());
-            self.give_up(id);
-        }
+        choice.is_none().then(|| self.give_up(id));
     }
 
     fn done(&mut self, done: &Done) {
@@ -679,8 +676,7 @@
             self.learn(&held.request, &held.attempts[attempt], outcome, lag);
         }
         let in_flight = held.attempts.iter().any(|a| a.open());
-        let ran = held.attempts.iter().any(|a| a.may_have_run());
-        let Class { effect, aim, .. } = self.config.classes[held.request.class.0];
+        let aim = self.config.classes[held.request.class.0].aim;
         let useful = self.now + self.config.resolution < held.request.deadline.min(held.arrived + aim);
         let more = held.attempts.len() < self.config.max_attempts && useful && self.retries >= 1.0;
         let (over, begun) = (over || held.life == Life::Over, held.life == Life::Begun);
@@ -688,7 +684,7 @@
         if over {
             self.end(id);
         } else if in_flight || begun {
-        } else if more && !(ran && effect == Effect::Once) {
+        } else if more {
             self.retries -= 1.0;
             self.place(id);
         } else {
@@ -698,11 +694,12 @@
 
     /// What the end of an attempt tells: of its machine, of how full the fleet is, and of its build.
     fn learn(&mut self, request: &Request, tried: &Attempt, outcome: Outcome, lag: Micros) {
-        let &Attempt { machine, build, sent, cold, .. } = tried;
+        let &Attempt { machine, build, sent, warmth, .. } = tried;
+        let cold = warmth.is_some();
         self.open = self.open.saturating_sub(1);
         let Some(m) = self.machines.get_mut(&machine) else { return };
         m.open = m.open.saturating_sub(1);
-        let kind = m.entry.kind;
+        let Entry { kind, zone, .. } = m.entry;
         if matches!(outcome, Outcome::Withdrawn | Outcome::Unsent) {
             return;
         }
@@ -711,49 +708,63 @@
         let used = if outcome == Outcome::Served { used.min(1.0) } else { 1.0 };
         let weight = if outcome == Outcome::Unreached { 0.0 } else { TIME_NEWEST };
         self.time_used += (used - self.time_used) * weight;
+        if matches!(outcome, Outcome::Served | Outcome::TimedOut) {
+            let missed = f64::from(u8::from(used >= 1.0));
+            for group in self.groups_of(request).into_iter().flatten() {
+                self.groups[group].missed += (missed - self.groups[group].missed) * NEWEST;
+            }
+        }
         let value = (lag.max(1) as f64 / request.hint.map_or(1.0, |h| h.max(1) as f64)).ln();
         // What is usual is learnt before a trial, lest what the trial does to the fleet becomes usual.
         let trial = self.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
-        let teaches = outcome == Outcome::Served && !cold && !self.on_trial(build);
+        let on_trial = self.on_trial(build);
+        let teaches = outcome == Outcome::Served && !cold && !on_trial;
         let [of_all, of_kind] = [None, Some(kind)].map(|kind| {
-            let usual = self.usual.entry((request.class, kind)).or_insert((value, 0));
-            if teaches && (trial.is_none() || usual.1 < LEARNT) {
-                usual.1 += 1;
-                usual.0 += (value - usual.0) / f64::from(usual.1.min(2 * LEARNT));
+            let usual = self.usual.entry((request.class, kind)).or_default();
+            if teaches && (trial.is_none() || usual.count < LEARNT) {
+                usual.add(self.now, value, 0.5 / f64::from(LEARNT), Micros::MAX);
             }
-            (usual.1 >= JUDGED_FROM as u32).then_some(value - usual.0)
+            (usual.count >= JUDGED_FROM as u32).then_some(value - usual.mean)
         });
         self.machine_outcome(machine, outcome, of_all.unwrap_or(0.0));
-        // A cold machine is slow whatever it runs: its time-outs say nothing of the build.
+        let timed = match outcome {
+            Outcome::Served | Outcome::TimedOut => of_kind,
+            Outcome::Unreached => Some(FAULT_PACE),
+            _ => None,
+        };
+        let slower = timed.filter(|_| !cold);
+        let pace = self.paces.entry(zone).or_default();
+        if let Some(slower) = slower.filter(|_| !on_trial) {
+            pace.add(self.now, slower, TIME_NEWEST, ALIVE);
+        }
+        // A cold machine's time-outs say nothing of its build, and it is taken for as slow as it may be.
         if matches!(outcome, Outcome::Served | Outcome::Error) || outcome == Outcome::TimedOut && !cold {
-            let slower = of_kind.filter(|_| !cold && outcome != Outcome::Error);
-            let seen = Seen { at: self.now, outcome, slower, machine };
-            self.put_on_record(request.class, build, seen, sent);
+            // At the last stage the earlier machines are being emptied and no measure any more.
+            let last = self.news.is_none_or(|n| n.stage + 1 >= self.config.rollout.stages.len());
+            let known = on_trial && !last && pace.count >= JUDGED_FROM as u32 && pace.at + ALIVE > self.now;
+            let excess = timed.filter(|_| known).map(|t| t + warmth.unwrap_or(1.0).ln() - pace.mean);
+            let seen = Seen { at: self.now, outcome, slower, excess, machine };
+            self.record(build).add(request.class, seen, sent, KEPT);
             if let Some(record) = trial.filter(|t| build < *t).and_then(|t| self.records.get_mut(&t))
                 && let (Some((since, _)), Some(slower)) = (record.suspected, slower)
                 && sent.saturating_sub(since) % SUSTAINED >= SETTLE
             {
                 record.steps[((sent - since) / SUSTAINED).min(1) as usize].push((machine, slower));
             }
-            self.judge();
         }
-        let binds = self.config.rollout.one_way && outcome == Outcome::Served && self.on_trial(build);
+        let binds = self.config.rollout.one_way && outcome == Outcome::Served && on_trial;
         self.answered_keys.extend(request.key.filter(|_| binds).map(|key| (key, build)));
     }
 
     /// The final answer, at once: rejected where the rules allow it, with advice when to come back.
     fn give_up(&mut self, id: RequestId) {
         let Some(held) = self.held.get(&id) else { return };
-        let ran = held.attempts.iter().any(|a| a.may_have_run());
+        let ran = held.may_have_run();
         let Class { effect, aim, .. } = self.config.classes[held.request.class.0];
-        let refusable = match effect {
-            Effect::Safe => true,
-            Effect::Once => !ran,
-            Effect::Keyed { scope, .. } => !ran || scope == Scope::All,
-        };
+        let repeats = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
         let soon = (aim as f64 * COME_BACK * (0.5 + self.rng.f64())) as Micros;
         let come_back = self.config.retry_advice.map(|most| soon.min(most));
-        self.out.push(if refusable { Action::Refuse { id, come_back } } else { Action::Fail(id) });
+        self.out.push(if repeats || !ran { Action::Refuse { id, come_back } } else { Action::Fail(id) });
         self.end(id);
     }
 
@@ -774,35 +785,25 @@
 
     fn housekeeping(&mut self) {
         self.out.push(Action::SetTimer { after: TICK, token: 0 });
-        self.machines.values_mut().for_each(|m| m.pace *= FORGET);
         self.judge();
         self.vote();
-        for id in std::mem::take(&mut self.waiting) {
-            if self.held.get(&id).is_some_and(|h| h.life == Life::Waiting) {
-                self.place(id);
-            }
-        }
         if self.ask_at.is_some_and(|at| self.now >= at) {
-            self.ask_at = Some(self.now + 2 * ASK_MOST); // lest the answer is lost
+            self.ask_at = Some(self.now + 2 * AGAIN_MOST); // lest the answer is lost
             self.out.push(Action::Subscribe(true));
         }
         if self.time_used > FULL_TIME {
-            let each = LEAST_EACH * self.machines.len() as f64 / f64::from(self.config.fronts);
-            self.limit =
-                (self.limit.min(f64::from(self.open)) * (1.0 - LIMIT_STEP)).max(LEAST_OPEN.max(each));
-            self.log("limit", || "answers come late: fewer requests let in".into());
+            let least =
+                (LEAST_OPEN * self.listed.len() as f64 / f64::from(self.config.fronts)).max(LEAST_HERE);
+            self.limit = (self.limit.min(f64::from(self.open)) * (1.0 - LIMIT_STEP)).max(least);
         } else if self.time_used < FREE_TIME {
             self.limit = (self.limit * (1.0 + LIMIT_STEP)).min(MOST_OPEN);
         }
         (self.records.len() > RECORDS).then(|| self.records.pop_first());
     }
 
-    fn log(&mut self, kind: &'static str, words: impl FnOnce() -> String) {
-        let due = self.logged.get(kind).is_none_or(|at| self.now >= at + LOG_GAP);
-        if due || matches!(kind, "verdict" | "vote" | "news") {
-            self.logged.insert(kind, self.now);
-            self.out.push(Action::Log(words()));
-        }
+    /// What a front decides of a build it always logs; what all fronts see alike, a few of them tell.
+    fn log(&mut self, always: bool, words: impl FnOnce() -> String) {
+        self.out.extend((always || self.tells).then(|| Action::Log(words())));
     }
 }
 
@@ -812,5 +813,5 @@
 fn breadth(seen: impl Iterator<Item = (MachineId, f64)>, over: f64) -> Mark {
     let machines = means(seen);
     let over = machines.iter().filter(|mean| **mean > over).count();
-    if over * 2 > machines.len() { Mark::Fail { lone: machines.len() == 1 } } else { Mark::Pass }
+    if over * 2 > machines.len() { Mark::Fail } else { Mark::Pass }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,8 @@
     pub vote_life: Micros,
     /// Longest wait for a vote's answer.
     pub vote_wait: Micros,
+    /// Instances whose votes must stand together to send a build back.
+    pub back_votes: u32,
     /// Votes a second that the platform takes from all instances.
     pub votes_per_s: f64,
     /// How long a stage lasts under [`VoteMode::Timer`].
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,18 +36,52 @@
     }
 }
 
+/// What was seen of a class or a tenant of late.
+#[derive(Clone, Default)]
+pub(crate) struct Group {
+    pub(crate) part: f64,   // of the traffic
+    pub(crate) missed: f64, // share of its requests that were not answered within the aim
+}
+
+/// How slow answers are: those of the released builds in one zone, or the usual ones of a class.
+#[derive(Default)]
+pub(crate) struct Pace {
+    pub(crate) mean: f64, // smoothed logarithm
+    pub(crate) count: u32,
+    pub(crate) at: Micros,
+}
+
+impl Pace {
+    /// One more value; it starts anew after `fresh` without one.
+    pub(crate) fn add(&mut self, now: Micros, value: f64, newest: f64, fresh: Micros) {
+        self.count = if self.at.saturating_add(fresh) > now { self.count + 1 } else { 1 };
+        self.at = now;
+        self.mean += (value - self.mean) * newest.max(1.0 / f64::from(self.count));
+    }
+}
+
 /// A machine of the list, and this instance's own view of its health.
 #[derive(Default)]
 pub(crate) struct Machine {
     pub(crate) entry: Entry,
     pub(crate) listed: bool,
     pub(crate) open: u32,
-    pub(crate) pace: f64, // smoothed logarithm of how much slower than usual its answers are
+    pub(crate) pace: f64, // smoothed logarithm of how much slower than usual its answers are ...
+    pub(crate) paced_at: Micros, // ... at this moment
     pub(crate) faults: f64,
     pub(crate) ejected_until: Micros,
     pub(crate) ejection: Micros,
     pub(crate) dead: bool, // the last ejection was for want of an answer
-    pub(crate) cold_work: VecDeque<(Micros, f64)>, // sent to it within the fall window, while it may be cold
+    pub(crate) cold_work: VecDeque<(Micros, f64)>, // sent to it of late, while it may be cold
+    pub(crate) phase: f64, // chance, 0 to 1: when this front's first request to it is due
+}
+
+/// What health says of a machine that the rules allow.
+#[derive(Clone, Copy)]
+pub(crate) enum Health {
+    Good,
+    Poor, // advised against
+    Dead, // could not be reached of late
 }
 
 /// One outcome on a build's record.
@@ -56,6 +90,7 @@
     pub(crate) at: Micros,
     pub(crate) outcome: Outcome,
     pub(crate) slower: Option<f64>, // logarithm over the usual of its class and kind, where comparable
+    pub(crate) excess: Option<f64>, // and over what released builds took in its zone at the same moment
     pub(crate) machine: MachineId,
 }
 
@@ -64,7 +99,7 @@
 pub(crate) enum Mark {
     Unjudged,
     Pass,
-    Fail { lone: bool },
+    Fail,
 }
 
 /// Where a record stands.
@@ -83,17 +118,49 @@
     pub(crate) cleared: Option<usize>,           // of that, at this stage
     pub(crate) steps: [Vec<(MachineId, f64)>; 2], // the earlier build's times while it is withheld, and after
     pub(crate) seen: Vec<VecDeque<Seen>>,        // one a class, then all together
-    pub(crate) marks: Vec<Mark>, // one a class, all together, the build's times, what it does to the fleet
+    pub(crate) judged: bool,                     // some class is
+    // One a class, all together, the build's times, what it does to the fleet.
     pub(crate) failing_since: Vec<Option<Micros>>,
     pub(crate) attempts: Window,
 }
 
+impl Record {
+    pub(crate) fn new(born: Micros, classes: usize, span: Micros) -> Self {
+        Record {
+            state: State::Soaking,
+            born,
+            last_seen: 0,
+            suspected: None,
+            cleared: None,
+            steps: Default::default(),
+            seen: vec![VecDeque::new(); classes + 1],
+            judged: false,
+            failing_since: vec![None; classes + 3],
+            attempts: Window::new(span, classes),
+        }
+    }
+
+    /// One more outcome of an attempt sent at `sent`, unless that was before the record; `kept` are kept.
+    pub(crate) fn add(&mut self, class: ClassId, seen: Seen, sent: Micros, kept: usize) {
+        if sent < self.born {
+            return;
+        }
+        self.last_seen = seen.at;
+        let all = self.seen.len() - 1;
+        for of in [class.0, all] {
+            let ring = &mut self.seen[of];
+            ring.push_back(seen);
+            (ring.len() > kept).then(|| ring.pop_front());
+        }
+    }
+}
+
 /// One sending of a request.
 pub(crate) struct Attempt {
     pub(crate) machine: MachineId,
     pub(crate) build: Build,
     pub(crate) sent: Micros,
-    pub(crate) cold: bool,
+    pub(crate) warmth: Option<f64>, // of its machine, where that was cold
     pub(crate) outcome: Option<Outcome>,
 }
 
@@ -111,9 +178,8 @@
 #[derive(PartialEq)]
 pub(crate) enum Life {
     Open,
-    Waiting, // for a machine that may take it
-    Begun,   // its answer streams and belongs to the client
-    Over,    // remembered until its attempts have ended
+    Begun, // its answer streams and belongs to the client
+    Over,  // remembered until its attempts have ended
 }
 
 /// A request of which something is owed or still out.
@@ -124,6 +190,12 @@
     pub(crate) life: Life,
 }
 
+impl Held {
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(Attempt::may_have_run)
+    }
+}
+
 /// A vote cast or wished.
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) struct Vote {
@@ -149,6 +221,11 @@
         let machines = values.iter().map(|v| v.0).collect::<BTreeSet<_>>().len() as f64;
         Level { count: values.len(), machines, mean, error: (spread / n).sqrt() }
     }
+
+    /// The error of the mean, however alike a few values happen to be: single ones differ by `least`.
+    pub(crate) fn chance(&self, least: f64) -> f64 {
+        self.error.max(least / (self.count.max(1) as f64).sqrt())
+    }
 }
 
 /// Share of the last outcomes, `most` at the most, of which something holds.
