--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,8 +14,7 @@
 // The record of a build (docs/design.md).
 const RECENT: usize = 20; // outcomes a class is judged by: older ones say what was, not what is
 const JUDGED_FROM: usize = 10; // outcomes below which a class is unjudged: a verdict on less is chance
-const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's to fail ...
-const RECOVERED: f64 = 0.05; // ... and still exceed it not to end: no flicker about the bar
+const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
 const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
@@ -263,10 +262,9 @@
         let (n, lates) = (seen.len().min(RECENT), share(seen, RECENT, late));
         let surely = (lates - self.surely().0 * (lates / n as f64).sqrt()).max(0.0);
         let wrongs = share(seen, RECENT, wrong);
-        let bar = if record.failing_since[class].is_some() { RECOVERED } else { MARGIN };
         match n >= JUDGED_FROM || wrongs * n as f64 >= PLAIN {
             false => Mark::Unjudged,
-            true if wrongs + surely <= before + bar => Mark::Pass,
+            true if wrongs + surely <= before + MARGIN => Mark::Pass,
             true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
         }
     }
