--- a/src/brain.rs
+++ b/src/brain.rs
@@ -101,7 +101,6 @@
     time_used: f64,                                   // smoothed time over aim of all outcomes
     usual: BTreeMap<(ClassId, Option<KindId>), Pace>, // logarithm of time over hint
     paces: BTreeMap<ZoneId, Pace>,
-    faults: f64,        // smoothed share of all outcomes
     tells: bool,        // one of the fronts that log what all see
     groups: Vec<Group>, // the classes, then the tenants
 }
@@ -217,15 +216,12 @@
         // A machine that can't be reached costs a connect time-out a try: out at once. One that fails goes
         // once it fails most; not one of a build on trial, whose failures are the judge's evidence.
         let dead = outcome == Outcome::Unreached;
-        // What all machines do alike is not this one's fault: none is ejected for it.
-        let failing = machine.faults > EJECT_ABOVE + self.faults && !trial;
-        self.faults += (f64::from(u8::from(fault)) - self.faults) * TIME_NEWEST;
+        let failing = machine.faults > EJECT_ABOVE && !trial;
         if !fault {
             machine.ejection = AGAIN_FIRST;
         } else if (dead || failing) && now >= machine.ejected_until {
             let span = machine.ejection;
-            (machine.dead, machine.faults, machine.ejected_until) =
-                (dead, machine.faults.min(EJECT_ABOVE), now + span);
+            (machine.dead, machine.faults, machine.ejected_until) = (dead, EJECT_ABOVE, now + span);
             machine.ejection = (span * 2).min(AGAIN_MOST);
             self.log(false, || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
         }
@@ -261,19 +257,14 @@
         let wrong = |s: &Seen| s.outcome == Outcome::Error;
         let late = |s: &Seen| alive && s.outcome == Outcome::TimedOut;
         let failed = |s: &Seen| wrong(s) || late(s);
+        let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, failed));
         let seen = &record.seen[class];
-        // Beside what the earlier build did since the oldest of these: a trouble of both has just begun there.
-        let from = seen.iter().rev().take(RECENT).last().map_or(0, |s| s.at);
-        let since = |e: &Record| e.seen[class].iter().filter(|s| s.at >= from).count().max(JUDGED_FROM);
-        let before = earlier.map_or(0.0, |e| share(&e.seen[class], since(e), failed));
         let (n, lates) = (seen.len().min(RECENT), share(seen, RECENT, late));
         let surely = (lates - self.surely().0 * (lates / n as f64).sqrt()).max(0.0);
-        // Where the earlier build fails as well, a few outcomes may be worse by chance alone.
         let wrongs = share(seen, RECENT, wrong);
-        let luck = self.surely().0 * (before * (1.0 - before) / n as f64).sqrt();
         match n >= JUDGED_FROM || wrongs * n as f64 >= PLAIN {
             false => Mark::Unjudged,
-            true if wrongs + surely <= before + luck + MARGIN => Mark::Pass,
+            true if wrongs + surely <= before + MARGIN => Mark::Pass,
             true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
         }
     }
@@ -336,8 +327,7 @@
         let [without, with] = record.steps.each_ref().map(|step| Level::of(step));
         let least = IN_STEP * rise;
         let sure = least.max(surely * with.chance(CHANCE).hypot(without.chance(CHANCE)));
-        let goes =
-            without.count >= enough && rise - without.mean > least.max(surely * without.chance(CHANCE));
+        let goes = without.count >= enough && rise - without.mean > least;
         let back = with.count >= enough && with.mean - without.mean > sure;
         match now - since {
             // Machines that come or go change the times by themselves: such a test tells nothing.
@@ -688,16 +678,14 @@
         let in_flight = held.attempts.iter().any(|a| a.open());
         let aim = self.config.classes[held.request.class.0].aim;
         let useful = self.now + self.config.resolution < held.request.deadline.min(held.arrived + aim);
-        // What never reached a machine is no load to any: the budget is for what may have run.
-        let free = outcome == Outcome::Unreached;
-        let more = held.attempts.len() < self.config.max_attempts && useful && (free || self.retries >= 1.0);
+        let more = held.attempts.len() < self.config.max_attempts && useful && self.retries >= 1.0;
         let (over, begun) = (over || held.life == Life::Over, held.life == Life::Begun);
         self.held.insert(id, held);
         if over {
             self.end(id);
         } else if in_flight || begun {
         } else if more {
-            self.retries -= f64::from(u8::from(!free));
+            self.retries -= 1.0;
             self.place(id);
         } else {
             self.give_up(id);
