--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,7 +44,7 @@
 const NEWEST: f64 = 0.15; // weight of the newest outcome in a machine's pace and faults, and in misses
 const FORGET: Micros = 5 * SECOND; // a pace fades by half in so long: a slow machine is tried again
 const LOOKED_AT: usize = 8; // machines drawn a placement: enough to tell whether most are in good health
-const FAR: f64 = 0.5; // logarithm by which a zone must be slower of late than another to be left out
+const FAR: f64 = 0.8; // logarithm by which a zone must be slower of late than another to be left out
 const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
 const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
 const CROSSING: f64 = 2.5; // how much heavier a machine in another zone counts where crossing has a price
@@ -313,7 +313,7 @@
             return Mark::Unjudged;
         }
         let old = Level::of(&self.times(self.earlier(build)));
-        let raised = old.count >= JUDGED_FROM && old.mean - surely * old.chance(CHANCE) > RAISED;
+        let raised = old.count >= enough.max(JUDGED_FROM) && old.mean - surely * old.chance(CHANCE) > RAISED;
         let (replaced, settled) =
             (self.replaced, self.replaced > self.staged && now > self.replaced + SETTLE);
         let record = self.record(build);
