--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,145 @@
+//! Dangers that show once fronts are many and each sees little.
+
+mod common;
+
+use common::*;
+use garnetcrank::interface::*;
+
+fn many(fronts: u32, back_votes: u32) -> Config {
+    let mut config = config();
+    config.fronts = fronts;
+    config.rollout.back_votes = back_votes;
+    config
+}
+
+/// Slow traffic, one request of a class a tick of 100 ms, with the time at each machine told.
+fn quiet(rig: &mut Rig, requests: usize, time: impl Fn(MachineId) -> Micros) -> Vec<Verdict> {
+    let mut votes = Vec::new();
+    for i in 0..requests {
+        let (id, out) = rig.request(ClassId(i % 3));
+        if let Some(machine) = placed(&out) {
+            rig.done(id, 0, Outcome::Served, time(machine));
+        }
+        votes.extend((0..4).flat_map(|_| rig.tick_votes(25)));
+    }
+    votes
+}
+
+fn on_trial(config: Config) -> Rig {
+    let mut rig = Rig::new(config);
+    let old: Vec<_> = (1..=6).map(|m| entry(m, OLD)).collect();
+    rig.list(old.clone());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    quiet(&mut rig, 90, |_| 40 * MS);
+    rig.send(Event::Stage(stage(NEW, 1, Phase::Trial, 0.5)));
+    rig.list(old.into_iter().chain([entry(8, NEW), entry(9, NEW)]).collect());
+    rig
+}
+
+fn slow_at_new(machine: MachineId) -> Micros {
+    if machine.0 >= 8 { 150 * MS } else { 40 * MS }
+}
+
+#[test]
+fn a_front_with_a_handful_of_outcomes_says_nothing_of_a_slow_build() {
+    let mut agreed = on_trial(many(300, 15));
+    assert!(quiet(&mut agreed, 100, slow_at_new).contains(&Verdict::Back), "fifteen must agree");
+    let mut alone = on_trial(many(300, 1));
+    assert!(!quiet(&mut alone, 100, slow_at_new).contains(&Verdict::Back), "alone it must be surer");
+}
+
+#[test]
+fn every_machine_grows_slower_and_many_quiet_fronts_blame_the_build() {
+    let mut rig = on_trial(many(300, 15));
+    assert!(!quiet(&mut rig, 150, |_| 90 * MS).contains(&Verdict::Back));
+}
+
+#[test]
+fn hundreds_of_fronts_send_a_cold_machine_one_request_each() {
+    let fronts = 300;
+    let mut work = 0;
+    for seed in 0..u64::from(fronts) {
+        let mut rig = Rig::new(many(fronts, 15));
+        rig.brain = garnetcrank::Brain::new(seed, many(fronts, 15));
+        let started = Some(rig.now);
+        rig.list(vec![Entry { started, ..entry(1, OLD) }]);
+        for _ in 0..10 {
+            let (_, out) = rig.request(READ);
+            work += placed(&out).map_or(0, |_| 100);
+            rig.now += 100 * MS;
+        }
+    }
+    // Twice what one core does in a second when half warm rising to five eighths; chance adds a little.
+    assert!(work > 300 && work <= 1_250, "{work} ms of work in the first second");
+}
+
+#[test]
+fn the_way_to_a_zone_grows_slow_and_a_front_meets_each_machine_there_too_rarely_to_know() {
+    let mut config = many(300, 15);
+    config.cross_zone_price = 0.04;
+    let mut rig = Rig::new(config);
+    let near = (1..=20).map(|m| entry(m, OLD));
+    let far = (21..=40).map(|m| Entry { zone: ZoneId(1), ..entry(m, OLD) });
+    rig.list(near.chain(far).collect());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    quiet(&mut rig, 90, |_| 40 * MS);
+    let link = |m: MachineId| if m.0 > 20 { 350 * MS } else { 40 * MS };
+    quiet(&mut rig, 90, link);
+    let count = std::cell::Cell::new(0);
+    quiet(&mut rig, 120, |m| {
+        count.set(count.get() + u32::from(m.0 > 20));
+        link(m)
+    });
+    assert!(count.get() <= 12, "{} of 120 over the slow link", count.get());
+    count.set(0);
+    quiet(&mut rig, 200, |_| 40 * MS);
+    quiet(&mut rig, 100, |m| {
+        count.set(count.get() + u32::from(m.0 > 20));
+        40 * MS
+    });
+    assert!(count.get() >= 10, "the zone is tried again: {}", count.get());
+}
+
+#[test]
+fn one_class_waits_at_every_machine_until_all_classes_miss() {
+    let mut rig = Rig::on_trial(many(2, 1), (1..=6).map(|m| entry(m, OLD)).collect());
+    let waits = |class: ClassId| if class == BOOK { Outcome::TimedOut } else { Outcome::Served };
+    let sent = |rig: &mut Rig, requests: u32, class: ClassId, all: &dyn Fn(ClassId) -> Outcome| {
+        let mut sent = 0;
+        for _ in 0..requests {
+            let (id, out) = rig.request(class);
+            sent += usize::from(placed(&out).is_some());
+            if placed(&out).is_some() {
+                let lag = if all(class) == Outcome::Served { 40 * MS } else { 400 * MS };
+                rig.done(id, 0, all(class), lag);
+            }
+            rig.tick(25);
+        }
+        sent
+    };
+    for _ in 0..30 {
+        sent(&mut rig, 1, READ, &waits);
+        sent(&mut rig, 1, BOOK, &waits);
+    }
+    let let_in = sent(&mut rig, 100, BOOK, &waits);
+    assert!((1..=25).contains(&let_in), "a trickle to see when it ends: {let_in}");
+    assert!(sent(&mut rig, 100, READ, &waits) >= 95, "the others are served");
+    sent(&mut rig, 300, BOOK, &|_| Outcome::Served);
+    assert!(sent(&mut rig, 100, BOOK, &|_| Outcome::Served) >= 95, "let in again once it is served");
+}
+
+#[test]
+fn answers_are_lost_everywhere_and_a_sound_fleet_is_ejected() {
+    let mut rig = Rig::on_trial(many(2, 1), (1..=6).map(|m| entry(m, OLD)).collect());
+    let count = std::cell::Cell::new(0u32);
+    for _ in 0..300 {
+        rig.serve(READ, |_| {
+            count.set(count.get() + 1);
+            if count.get().is_multiple_of(4) { Outcome::Broken } else { Outcome::Served }
+        });
+        rig.tick(25);
+    }
+    let met: std::collections::BTreeSet<_> =
+        (0..60).filter_map(|_| rig.serve(READ, |_| Outcome::Served)).collect();
+    assert_eq!(met.len(), 6, "a reset now and then ejects no machine: {met:?}");
+}
