--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,7 +14,8 @@
 // The record of a build (docs/design.md).
 const RECENT: usize = 20; // outcomes a class is judged by: older ones say what was, not what is
 const JUDGED_FROM: usize = 10; // outcomes below which a class is unjudged: a verdict on less is chance
-const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's
+const MARGIN: f64 = 0.1; // by how much a share of failures must exceed the earlier build's, over 20 outcomes
+const RECOVERED: f64 = 0.5; // part of that bar that a failure must fall under to end: no flicker about it
 const SUSTAINED: Micros = 3 * SECOND; // how long a class must stay failed; also the soak after a start
 const RENEW: Micros = 4 * SECOND; // renewal of a standing verdict, unless its life asks for an earlier one
 const LEARNT: u32 = 100; // outcomes after which what is usual is learnt no more while a trial runs
@@ -259,12 +260,16 @@
         let failed = |s: &Seen| wrong(s) || late(s);
         let before = earlier.map_or(0.0, |e| share(&e.seen[class], KEPT, failed));
         let seen = &record.seen[class];
-        let (n, lates) = (seen.len().min(RECENT), share(seen, RECENT, late));
+        // All classes together are judged by more outcomes, among which a smaller share is no chance.
+        let most = if class < self.config.classes.len() { RECENT } else { KEPT };
+        let (n, lates) = (seen.len().min(most), share(seen, most, late));
+        let bar = MARGIN * (RECENT as f64 / n as f64).sqrt();
+        let bar = if record.failing_since[class].is_some() { bar * RECOVERED } else { bar };
         let surely = (lates - self.surely().0 * (lates / n as f64).sqrt()).max(0.0);
-        let wrongs = share(seen, RECENT, wrong);
+        let wrongs = share(seen, most, wrong);
         match n >= JUDGED_FROM || wrongs * n as f64 >= PLAIN {
             false => Mark::Unjudged,
-            true if wrongs + surely <= before + MARGIN => Mark::Pass,
+            true if wrongs + surely <= before + bar => Mark::Pass,
             true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
         }
     }
@@ -357,14 +362,11 @@
         record.judged = marks[..classes].iter().any(|m| *m != Mark::Unjudged);
         let mut sustained = None;
         for (i, mark) in marks.into_iter().enumerate() {
-            if mark != Mark::Fail {
-                record.failing_since[i] = None;
-                continue;
-            }
             // What the fleet showed has been running since the build was suspected.
             let began = record.suspected.filter(|_| i > classes + 1).map_or(now, |s| s.0);
-            let since = *record.failing_since[i].get_or_insert(began);
-            sustained = sustained.or((now - since >= SUSTAINED).then_some(i));
+            let since = record.failing_since[i].unwrap_or(began);
+            record.failing_since[i] = (mark == Mark::Fail).then_some(since);
+            sustained = sustained.or((mark == Mark::Fail && now - since >= SUSTAINED).then_some(i));
         }
         if let Some(i) = sustained {
             record.state = State::Failed;
