--- a/src/brain.rs
+++ b/src/brain.rs
@@ -744,7 +744,7 @@
             // At the last stage the earlier machines are being emptied and no measure any more.
             let last = self.news.is_none_or(|n| n.stage + 1 >= self.config.rollout.stages.len());
             let known = on_trial && !last && pace.count >= JUDGED_FROM as u32 && pace.at + ALIVE > self.now;
-            let excess = timed.filter(|_| known).map(|t| t + 2.0 * warmth.unwrap_or(1.0).ln() - pace.mean);
+            let excess = timed.filter(|_| known).map(|t| t + warmth.unwrap_or(1.0).ln() - pace.mean);
             let seen = Seen { at: self.now, outcome, slower, excess, machine };
             self.record(build).add(request.class, seen, sent, KEPT);
             if let Some(record) = trial.filter(|t| build < *t).and_then(|t| self.records.get_mut(&t))
