--- a/src/brain.rs
+++ b/src/brain.rs
@@ -265,7 +265,7 @@
         let (n, lates) = (seen.len().min(most), share(seen, most, late));
         let bar = MARGIN * (RECENT as f64 / n as f64).sqrt();
         let bar = if record.failing_since[class].is_some() { bar * RECOVERED } else { bar };
-        let surely = (lates - self.surely().0 * (lates / n as f64).sqrt()).max(0.0);
+        let surely = (lates - self.surely().0 * (lates / n.min(RECENT) as f64).sqrt()).max(0.0);
         let wrongs = share(seen, most, wrong);
         match n >= JUDGED_FROM || wrongs * n as f64 >= PLAIN {
             false => Mark::Unjudged,
@@ -338,9 +338,9 @@
             // Machines that come or go change the times by themselves: such a test tells nothing.
             _ if replaced > since => record.suspected = None,
             0..SUSTAINED => {}
-            // Alone it looks once, at the end: who looks again and again finds something by chance.
-            age if goes && back && (age >= 2 * SUSTAINED || enough < RECENT) => return Mark::Fail,
+            // Looked at once, at the end: who looks again and again finds something by chance.
             age if goes && age < 2 * SUSTAINED => {}
+            _ if goes && back => return Mark::Fail,
             _ => {
                 (record.suspected, record.cleared) = (None, Some(stage.stage));
                 self.log(true, || format!("build {} cleared of slowing all machines", build.0));
