Without a hint, work is unknown until a class's usual time is learnt

Cause: since what is usual is kept as a pace it begins empty, and an outcome that teaches nothing (a cold machine, an error) left it at zero: work of 1 us, so that the guard of cold machines counted nothing. Where requests carry hints nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -200,8 +200,8 @@
 
     /// Expected work of a request: its hint, else the usual time of its class (which errs upwards).
     fn work(&self, request: &Request) -> f64 {
-        let usual = || self.usual.get(&(request.class, None)).map_or(UNKNOWN_WORK, |u| u.mean.exp());
-        request.hint.map_or_else(usual, |h| h as f64)
+        let usual = || self.usual.get(&(request.class, None)).filter(|u| u.count > 0);
+        request.hint.map_or_else(|| usual().map_or(UNKNOWN_WORK, |u| u.mean.exp()), |h| h as f64)
     }
 
     /// Notes what an attempt tells of its machine: its pace, its faults, and whether to eject it.
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -143,3 +143,24 @@
         (0..60).filter_map(|_| rig.serve(READ, |_| Outcome::Served)).collect();
     assert_eq!(met.len(), 6, "a reset now and then ejects no machine: {met:?}");
 }
+
+#[test]
+fn requests_without_a_hint_count_as_no_work_at_a_cold_machine_until_a_warm_one_has_answered() {
+    let mut rig = Rig::new(many(1, 1));
+    let started = Some(rig.now);
+    rig.list(vec![Entry { started, ..entry(1, OLD) }]);
+    let mut sent = 0;
+    for id in 0..200 {
+        let deadline = rig.now + 1_000 * MS;
+        let (id, class) = (RequestId(id), READ);
+        let request = Request { id, class, tenant: None, key: None, deadline, hint: None, repeat: false };
+        if placed(&rig.send(Event::Request(request))).is_some() {
+            sent += 1;
+            rig.done(id, 0, Outcome::Served, MS);
+        }
+    }
+    assert!(
+        (1..=20).contains(&sent),
+        "{sent} at once, at 50 ms each of a second's budget of one half-warm core"
+    );
+}
