--- a/src/brain.rs
+++ b/src/brain.rs
@@ -530,10 +530,9 @@
     }
 
     /// What health says of a machine that the rules allow for this request; none: a rule forbids it.
-    fn eligible(&mut self, held: &Held, id: MachineId) -> Option<Health> {
-        let (class, work) = (held.request.class, self.work(&held.request));
+    fn eligible(&mut self, held: &Held, work: f64, id: MachineId) -> Option<Health> {
         let &Machine { entry, ejected_until, dead, .. } = self.machines.get(&id)?;
-        let kept = self.exposure_allows(entry.build, class)
+        let kept = self.exposure_allows(entry.build, held.request.class)
             && self.key_allows(held.request.key, entry.build)
             && self.repeat_allows(held, &entry)
             && self.cold_allows(id, work);
@@ -555,7 +554,7 @@
 
     /// Power of two choices by requests in flight, for size, pace and zone, among a few machines drawn. Those
     /// that health advises against are left out unless they are most; unreachable ones for want of any other.
-    fn choose(&mut self, held: &Held) -> Option<MachineId> {
+    fn choose(&mut self, held: &Held, work: f64) -> Option<MachineId> {
         let mut found: [Vec<MachineId>; 3] = Default::default();
         for i in 0..self.listed.len() {
             if i >= LOOKED_AT && found[0].len() > 1 {
@@ -564,7 +563,7 @@
             let drawn = self.rng.usize(i..self.listed.len());
             self.listed.swap(i, drawn);
             let id = self.listed[i];
-            if let Some(health) = self.eligible(held, id) {
+            if let Some(health) = self.eligible(held, work, id) {
                 found[health as usize].push(id);
             }
         }
@@ -648,7 +647,8 @@
     /// Starts an attempt at an eligible machine; without one the request gets its answer at once.
     fn place(&mut self, id: RequestId) {
         let Some(mut held) = self.held.remove(&id) else { return };
-        let (now, choice, work) = (self.now, self.choose(&held), self.work(&held.request));
+        let (now, work) = (self.now, self.work(&held.request));
+        let choice = self.choose(&held, work);
         let class = &self.config.classes[held.request.class.0];
         // An answer that earns nothing is not waited for: the work is better spent on others.
         let useful = if class.late_worth > 0.0 { held.request.deadline } else { held.arrived + class.aim };
