No client connection is closed before its answer; a crowded front closes with the answer

Now the front holds as many requests as it has pairs of descriptors, keeps a sixteenth more for clients whose requests are refused, and when crowded ends a connection with its answer. A message that is whole after one read costs no second one.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -74,6 +74,8 @@
     clients: HashMap<ConnId, Client>,
     /// Every answer is the last one of its connection.
     pub closing: bool,
+    /// There are more of them than can be kept: an answer closes its connection.
+    pub crowded: bool,
     /// Connections may wait to be accepted.
     pub waiting: bool,
 }
@@ -98,6 +100,7 @@
             listener: Some((listener, token)),
             clients: HashMap::new(),
             closing: false,
+            crowded: false,
             waiting: true,
         })
     }
@@ -181,8 +184,10 @@
                 (State::Held(_) | State::Told, _) if ended => break true,
                 (State::Held(held), Ok(true)) if before > 0 && client.streaming => {
                     notes.push(Note::Drained(held));
+                    break false;
                 }
-                (State::Held(_) | State::Told, _) => {}
+                // What a client sends before its answer is read after it, as is its leaving if both came at once.
+                (State::Held(_) | State::Told, _) => break false,
                 (State::Reading, _) => match client.reader.read(&mut client.conn.input) {
                     Ok(Parsing::Done(request)) => {
                         (client.state, client.moved) = (State::Told, now);
@@ -211,7 +216,7 @@
                     }
                 },
             }
-            if ended || !client.conn.more_to_read() || client.conn.input.room() == 0 {
+            if ended || !client.conn.more_to_read() {
                 break false;
             }
         };
@@ -260,7 +265,7 @@
         notes: &mut Vec<Note>,
     ) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let close = self.closing || !client.keep_alive;
+        let close = self.closing || self.crowded || !client.keep_alive;
         let last: Option<(&str, &[u8])> = close.then_some(("Connection", b"close"));
         let written = write_response(&mut client.conn.output, status, headers.chain(last), Some(body));
         if written.is_err() {
@@ -276,7 +281,7 @@
     /// Begins a streamed answer.
     pub fn begin<'a>(&mut self, id: ConnId, headers: impl Iterator<Item = (&'a str, &'a [u8])>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let close = self.closing || !client.keep_alive;
+        let close = self.closing || self.crowded || !client.keep_alive;
         let last: Option<(&str, &[u8])> = close.then_some(("Connection", b"close"));
         client.streaming = true;
         // The ring is empty between answers, and a head is bounded.
@@ -301,7 +306,7 @@
     /// Ends a streamed answer.
     pub fn finish(&mut self, id: ConnId, now: Micros, notes: &mut Vec<Note>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let close = self.closing || !client.keep_alive;
+        let close = self.closing || self.crowded || !client.keep_alive;
         if client.conn.output.push(b"0\r\n\r\n").is_err() {
             return self.break_off(id);
         }
@@ -320,13 +325,6 @@
         self.clients.values().all(|c| matches!(c.state, State::Reading) || c.finished)
     }
 
-    /// Closes the connection that has been without a request for longest. False if none is.
-    pub fn evict_idle(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|(_, c)| c.idle());
-        let oldest = idle.min_by_key(|(id, c)| (c.moved, **id)).map(|(id, _)| *id);
-        oldest.is_some_and(|id| self.clients.remove(&id).is_some())
-    }
-
     /// Closes every connection that is between requests, once nothing more has come on it.
     pub fn close_idle(&mut self) {
         self.clients.retain(|_, c| !(c.idle() && c.conn.quiet()));
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -85,9 +85,10 @@
         }
     }
 
-    /// Reads all that there is and that the ring has room for. True once nothing more will come.
+    /// Reads once, for as much as the ring has room. True once nothing more will come. A message that is
+    /// whole after it needs no second read to learn that nothing else has come.
     pub fn fill(&mut self) -> bool {
-        while self.readable && !self.ended && self.input.room() > 0 {
+        if self.readable && !self.ended && self.input.room() > 0 {
             match self.input.fill(&mut &*self.stream) {
                 Ok(0) => self.ended = true,
                 Ok(_) => {}
@@ -99,9 +100,9 @@
         self.ended
     }
 
-    /// Whether there may be more to read for which the ring had no room.
+    /// Whether there may be more to read, and the ring has room for it.
     pub fn more_to_read(&self) -> bool {
-        self.readable && !self.ended
+        self.readable && !self.ended && self.input.room() > 0
     }
 
     /// Writes what waits, as far as the peer takes it. True once all is written.
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -39,8 +39,6 @@
     left,
     /// Client connections accepted.
     client_conns,
-    /// Client connections that were closed to make room.
-    clients_evicted,
     /// Turns in which no client could be accepted for want of descriptors.
     accepts_paused,
     /// Attempts that ended with an answer.
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -82,7 +82,6 @@
         }
         loop {
             let ended = conn.fill();
-            let before = conn.input.len();
             let lost = if self.sent() { Step::Broken } else { Step::NeverSent };
             match self.reader.read(&mut conn.input, ended) {
                 Ok(Parsing::Done(response)) => {
@@ -91,8 +90,7 @@
                 }
                 Err(_) => return lost,
                 Ok(Parsing::More) if ended || broke => return lost,
-                // The ring was full and has been emptied, in part at least: there may be more.
-                Ok(Parsing::More) if conn.more_to_read() && conn.input.len() < before => {}
+                Ok(Parsing::More) if conn.more_to_read() => {}
                 Ok(Parsing::More) => return Step::Pending,
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -22,10 +22,10 @@
 /// Descriptors for all but clients and machines: standard streams, the loop's own, the listener, discovery,
 /// the platform with its votes, and a margin.
 const RESERVED: usize = 32;
-/// Part of the descriptors that clients may take; the rest is sure to be there for machines.
-const CLIENT_PART: f64 = 0.625;
-/// Memory that a client's request can take in KiB: its body read, sent on, its answer read, sent on, and heads.
-const CLIENT_KIB: u64 = 320;
+/// Part of the descriptors for clients beyond those whose requests can be held: their requests are refused
+/// and their connections closed, so that nobody waits unheard. A connection is never closed before its answer:
+/// a request may be on its way on it.
+const CROWD: usize = 16;
 /// Part of the memory that bodies of held requests may take.
 const BODY_PART: u64 = 8;
 /// A request that nothing has ended is failed so long after its time: the decisions' own answer comes first,
@@ -77,10 +77,11 @@
         // The system's own limit may be below the one told.
         let system = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         let sockets = sockets.min(usize::try_from(system).unwrap_or(usize::MAX));
-        let descriptors = sockets.saturating_sub(RESERVED).max(2);
-        let by_memory = usize::try_from(memory_mb * 1024 / CLIENT_KIB).unwrap_or(usize::MAX);
-        let most_clients = ((descriptors as f64 * CLIENT_PART) as usize).min(by_memory).max(1);
-        let most_held = settings.transport.most_held.unwrap_or(usize::MAX).min(most_clients);
+        let descriptors = sockets.saturating_sub(RESERVED).max(8);
+        let crowd = descriptors / CROWD + 1;
+        // A held request takes its client's connection and one to a machine.
+        let most_held = settings.transport.most_held.unwrap_or(usize::MAX).min((descriptors - crowd) / 2);
+        let most_clients = most_held + crowd;
         let mut front = Front {
             clients: Clients::listen(&handle, process.listen)?,
             machines: Machines::new(settings.transport.clone()),
@@ -186,16 +187,15 @@
         }
     }
 
-    /// Takes clients in while there is room, which idle connections make way for.
+    /// Takes clients in while there is room, which idle connections to machines make way for.
     fn accept(&mut self, now: Micros) {
+        self.clients.crowded = self.clients.len() > self.most_held;
         for _ in 0..ACCEPTS {
             if !self.clients.waiting {
                 return;
             }
             let full = self.clients.len() >= self.most_clients;
-            if full && self.clients.evict_idle() {
-                self.counters.clients_evicted += 1;
-            } else if full || !self.room() && !self.make_room() {
+            if full || !self.room() && !self.make_room() {
                 self.counters.accepts_paused += 1;
                 return;
             }
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -147,7 +147,6 @@
         }
         loop {
             let ended = self.conn.fill();
-            let before = self.conn.input.len();
             match self.reader.read(&mut self.conn.input, ended) {
                 Ok((lines, over)) => {
                     all.extend(lines);
@@ -160,7 +159,7 @@
                 }
                 Err(e) => return (all, Some(format!("connection lost: {e}"))),
             }
-            if !self.conn.more_to_read() || self.conn.input.len() == before {
+            if !self.conn.more_to_read() {
                 return (all, None);
             }
         }
