--- /dev/null
+++ b/crates/front/tests/front.rs
@@ -0,0 +1,453 @@
+//! The whole program on loopback, between small stand-ins for clients, machines, discovery and the platform.
+
+mod stand_ins;
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
+
+use stand_ins::*;
+
+fn ok(body: &str) -> Does {
+    Does::Answer(200, "X-Made-By: machine\r\n", body.as_bytes().to_vec())
+}
+
+/// Discovery, a platform, a plan and the list for these machines.
+fn around(machines: &[SocketAddr]) -> (Source, Source, Plan) {
+    let members: Vec<String> =
+        machines.iter().enumerate().map(|(i, a)| member(&format!("s-{i}"), *a, 4, "Ready")).collect();
+    let known = list(1, true, &members);
+    let discovery = Source::start(&known);
+    let platform = Source::start(&progress(&state(4, 1, "COMPLETE", 1.0)));
+    let plan = Plan::new(&known, &discovery, &platform);
+    (discovery, platform, plan)
+}
+
+#[test]
+fn a_calm_exchange_passes_everything_through_unchanged() {
+    let machine = Machine::start(ok("an answer\0with any bytes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    for round in 0..3 {
+        let text = request("POST", "/book/7?x=%20y", 5000, "body & more");
+        let answer = client.say(&text).expect("an answer");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"an answer\0with any bytes"[..]));
+        assert_eq!(answer.header("x-made-by"), Some("machine"));
+        let got = machine.requests().pop().expect("a request");
+        assert_eq!(got.first, "POST /book/7?x=%20y HTTP/1.1");
+        assert_eq!(got.body, b"body & more");
+        assert!(text.contains(got.header("request-id").expect("an id")));
+        let wait: u64 = got.header("request-timeout-ms").and_then(|t| t.parse().ok()).expect("a time");
+        assert!((1..=5000).contains(&wait), "{wait} ms in round {round}");
+    }
+    assert_eq!(machine.connections(), 1, "a kept connection is used again");
+}
+
+#[test]
+fn a_request_may_come_in_pieces_and_the_next_one_right_behind_it() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    let (first, second) = (request("POST", "/book", 9000, "one"), request("POST", "/book", 9000, "two"));
+    for byte in first.chars() {
+        client.send(&byte.to_string());
+    }
+    client.send(&second);
+    for body in [b"one", b"two"] {
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        assert!(machine.requests().iter().any(|r| r.body == body));
+    }
+}
+
+#[test]
+fn what_cannot_be_understood_gets_a_4xx_a_closed_connection_and_no_machine() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let good = request("GET", "/look", 1000, "");
+    let long = format!("GET /look HTTP/1.1\r\nHost: x\r\nX: {}\r\n\r\n", "y".repeat(20_000));
+    for (text, status) in [
+        ("nonsense\r\n\r\n".to_owned(), 400),
+        (good.replace("Request-Id", "Other"), 400),
+        (good.replace("/look", "/unheard"), 404),
+        (good.replace("acme", "nobody"), 400),
+        (good.replace("1000", "soon"), 400),
+        (good.replace("Host: service.internal\r\n", ""), 400),
+        (
+            request("POST", "/book", 1000, "ab")
+                .replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 3"),
+            400,
+        ),
+        (
+            request("POST", "/book", 1000, "ab")
+                .replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"),
+            400,
+        ),
+        (request("POST", "/book", 1000, "ab").replace("Content-Length: 2", "Content-Length: 99999999"), 413),
+        (request("POST", "/book", 1000, "ab").replace("Content-Length: 2", "Transfer-Encoding: gzip"), 501),
+        (good.replace("HTTP/1.1", "HTTP/1.0"), 505),
+        (long, 431),
+    ] {
+        let mut client = front.client();
+        let answer = client.say(&text).unwrap_or_else(|| panic!("no answer to {text:?}"));
+        assert_eq!(answer.status(), status, "{text:?}");
+        assert!(client.ended(), "still open after {text:?}");
+    }
+    assert!(machine.requests().is_empty());
+    assert_eq!(front.client().say(&good).expect("an answer").status(), 200, "it serves on");
+}
+
+#[test]
+fn each_way_in_which_an_attempt_can_end_is_told_apart() {
+    // Where an attempt may have run, a request that must not run twice is failed and never sent again.
+    for (does, status) in [
+        (Does::Answer(500, "", Vec::new()), 502),
+        (Does::Answer(503, "", Vec::new()), 502),
+        (Does::Close, 502),
+        (Does::Nonsense, 502),
+        (Does::Answer(503, "Not-Started: 1\r\n", Vec::new()), 503),
+        (Does::Answer(504, "Not-Started: 1\r\n", Vec::new()), 503),
+    ] {
+        let machine = Machine::start(does.clone());
+        let (_discovery, _platform, plan) = around(&[machine.address]);
+        let front = Running::start(&plan);
+        let answer = front.client().say(&request("POST", "/pay", 5000, "x")).expect("an answer");
+        assert_eq!(answer.status(), status, "{does:?}");
+        let sent = machine.requests().len();
+        let expected = if status == 502 { 1..=1 } else { 1..=3 };
+        assert!(expected.contains(&sent), "sent {sent} times: {does:?}");
+        assert_eq!(answer.header("retry-after").is_some(), status == 503, "{does:?}");
+    }
+}
+
+#[test]
+fn a_dead_machine_never_ran_anything_and_the_request_goes_elsewhere() {
+    let (dead, alive) = (free_address(), Machine::start(ok("yes")));
+    let (_discovery, _platform, plan) = around(&[dead, alive.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    for _ in 0..20 {
+        assert_eq!(client.say(&request("POST", "/pay", 9000, "x")).expect("an answer").status(), 200);
+    }
+    assert_eq!(alive.requests().len(), 20);
+}
+
+#[test]
+fn a_silent_machine_costs_a_final_answer_in_time_and_never_a_second_one() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    let answer = client.say(&request("POST", "/pay", 300, "x")).expect("an answer");
+    assert_eq!(answer.status(), 502);
+    // The late answer of the first must reach nobody, least of all the next request.
+    machine.release();
+    machine.now_does(ok("the second"));
+    let answer = client.say(&request("POST", "/book", 9000, "x")).expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"the second"[..]));
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along_and_holds_nothing_up() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    for gone in 1..=5 {
+        let mut client = front.client();
+        client.send(&request("GET", "/look", 20_000, ""));
+        until("the request at the machine", || machine.requests().len() == gone);
+        drop(client);
+    }
+    machine.now_does(ok("yes"));
+    assert_eq!(front.client().say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    until("five clients counted as gone", || {
+        front.signal("USR1");
+        let log = front.log();
+        log.contains(" left=5 ") && log.contains(" withdrawn=5 ")
+    });
+}
+
+#[test]
+fn a_draining_machine_gets_nothing_new_and_a_new_one_its_share() {
+    let (old, new) = (Machine::start(ok("old")), Machine::start(ok("new")));
+    let (discovery, _platform, plan) = around(&[old.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"old");
+    let change = [member("s-0", old.address, 4, "Terminating"), member("s-9", new.address, 4, "Ready")];
+    discovery.tell(&list(2, false, &change), &list(2, true, &change));
+    until("answers from the new machine", || {
+        client.say(&request("GET", "/look", 9000, "")).expect("an answer").body == b"new"
+    });
+    let sent = old.requests().len();
+    for _ in 0..20 {
+        assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"new");
+    }
+    assert_eq!(old.requests().len(), sent);
+}
+
+#[test]
+fn a_machine_that_moves_is_found_at_its_new_address() {
+    let (before, after) = (Machine::start(ok("before")), Machine::start(ok("after")));
+    let (discovery, _platform, plan) = around(&[before.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"before");
+    let change = [member("s-0", after.address, 4, "Ready")];
+    discovery.tell(&list(2, false, &change), &list(2, true, &change));
+    until("answers from the new address", || {
+        client.say(&request("GET", "/look", 9000, "")).expect("an answer").body == b"after"
+    });
+}
+
+#[test]
+fn a_cap_of_nothing_keeps_requests_off_a_build_on_trial() {
+    let (old, new) = (Machine::start(ok("old")), Machine::start(ok("new")));
+    let (_discovery, platform, mut plan) = around(&[]);
+    let members = [member("s-0", old.address, 4, "Ready"), member("s-1", new.address, 5, "Ready")];
+    let known = list(1, true, &members);
+    let discovery = Source::start(&known);
+    (plan.known, plan.discovery) = (known, discovery.address);
+    plan.news = state(5, 0, "IN_PROGRESS", 1.0);
+    platform.tell("{}", &progress(&plan.news));
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    until("the build on trial is used", || {
+        client.say(&request("GET", "/look", 9000, "")).is_some() && !new.requests().is_empty()
+    });
+    let lower = progress(&state(5, 0, "ROLLING_BACK", 0.0));
+    platform.tell(&lower, &lower);
+    until("the lower cap is known", || front.log().contains("GoingBack"));
+    let sent = new.requests().len();
+    for _ in 0..20 {
+        assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"old");
+    }
+    assert_eq!(new.requests().len(), sent);
+}
+
+#[test]
+fn a_failing_build_is_voted_back_and_the_answer_is_news() {
+    let (old, new) = (Machine::start(ok("old")), Machine::start(Does::Answer(500, "", Vec::new())));
+    let members = [member("s-0", old.address, 4, "Ready"), member("s-1", new.address, 5, "Ready")];
+    let known = list(1, true, &members);
+    let discovery = Source::start(&known);
+    let news = state(5, 0, "IN_PROGRESS", 1.0);
+    let platform = Source::start(&progress(&news));
+    platform.answer_votes(200, &news);
+    let mut plan = Plan::new(&known, &discovery, &platform);
+    plan.news = news;
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    let voted = |ruling: &str| platform.votes().iter().any(|v| v.contains(ruling));
+    until("a vote to hold, then one back", || {
+        client.say(&request("GET", "/look", 9000, "")).expect("an answer");
+        if voted("HOLD") {
+            platform.answer_votes(200, &state(5, 0, "ROLLING_BACK", 0.0));
+        }
+        voted("ROLLBACK")
+    });
+    assert!(platform.votes()[0].contains(r#""release":5,"tranche":0,"ruling":"HOLD""#));
+    until("the answer is taken as news", || front.log().contains("GoingBack"));
+}
+
+#[test]
+fn silent_discovery_and_platform_are_noticed_and_made_anew() {
+    let machine = Machine::start(ok("yes"));
+    let (discovery, platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    discovery.silence(true);
+    platform.silence(true);
+    until("both are found silent", || {
+        let log = front.log();
+        log.contains("discovery: no sign of life") && log.contains("platform: no sign of life")
+    });
+    let mut client = front.client();
+    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    discovery.silence(false);
+    platform.silence(false);
+    discovery.cut();
+    platform.cut();
+    until("both are connected again", || {
+        front.log().matches("discovery: connected").count() > 1
+            && front.log().matches("platform: connected").count() > 1
+    });
+    assert!(discovery.asked().iter().all(|t| t.starts_with("/v1/servers?stream=1&index=")));
+}
+
+#[test]
+fn news_that_cannot_be_read_is_logged_and_the_connection_made_anew() {
+    let machine = Machine::start(ok("yes"));
+    let (discovery, platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let (asked, heard) = (discovery.asked().len(), platform.asked().len());
+    discovery.tell("{\"revision\":", &plan.known);
+    platform.tell("][", &progress(&plan.news));
+    until("new connections", || discovery.asked().len() > asked && platform.asked().len() > heard);
+    assert!(front.log().contains("can't be read"));
+    assert_eq!(front.client().say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for() {
+    let machine = Machine::start(ok("yes"));
+    let (discovery, _platform, mut plan) = around(&[machine.address]);
+    plan.known = list(0, true, &[]);
+    plan.settings["registryMode"] = "on_request".into();
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    until("an answer from a machine of the list", || {
+        client.say(&request("GET", "/look", 9000, "")).is_some_and(|a| a.status() == 200)
+    });
+    assert!(!discovery.asked().is_empty());
+}
+
+#[test]
+fn the_word_to_stop_loses_nothing_that_was_taken() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let mut front = Running::start(&plan);
+    let (mut held, mut kept) = (front.client(), front.client());
+    held.send(&request("GET", "/look", 25_000, ""));
+    until("the request at the machine", || machine.requests().len() == 1);
+    front.signal("TERM");
+    until("the front drains", || front.log().contains("draining"));
+    // Clients still come, on kept connections and on new ones.
+    machine.now_does(ok("still here"));
+    let answer = kept.say(&request("GET", "/look", 9000, "")).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(kept.ended());
+    machine.release();
+    assert_eq!(held.read().expect("an answer").body, b"late");
+    assert!(front.exit().success());
+    assert!(front.log().contains("counters requests=2 passed=2 "), "{}", front.log());
+}
+
+#[test]
+fn it_starts_again_at_once_under_the_same_address() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    let first = Running::start(&plan);
+    plan.listen = Some(first.address);
+    let mut client = first.client();
+    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    first.signal("KILL");
+    assert!(client.ended());
+    drop(first);
+    let second = Running::start(&plan);
+    assert_eq!(second.client().say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+}
+
+#[test]
+fn with_descriptors_running_out_it_refuses_and_lives() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    plan.sockets = 64;
+    let front = Running::start(&plan);
+    let mut clients: Vec<Client> = (0..120).map(|_| front.client()).collect();
+    for client in &mut clients {
+        client.send(&request("GET", "/look", 1500, ""));
+    }
+    // Every one of them gets a final answer, though only few can be held at once.
+    let mut refused = 0;
+    for client in &mut clients {
+        let status = client.read().expect("an answer").status();
+        assert!([502, 503, 504].contains(&status), "{status}");
+        refused += usize::from(status == 503);
+    }
+    assert!(refused > 0);
+    machine.now_does(ok("yes"));
+    drop(clients);
+    until("it serves again", || {
+        front.client().say(&request("GET", "/look", 9000, "")).is_some_and(|a| a.status() == 200)
+    });
+}
+
+#[test]
+fn a_streamed_answer_is_passed_on_as_it_comes() {
+    let machine = Machine::start(Does::Stream(vec!["one", "two"], true));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    client.send(&request("GET", "/tail", 5000, ""));
+    machine.release();
+    let mut seen = Vec::new();
+    while !seen.windows(3).any(|w| w == b"one") {
+        let part = client.part(1000);
+        assert!(!part.is_empty(), "ended early");
+        seen.extend(part);
+    }
+    assert!(!seen.windows(3).any(|w| w == b"two"), "held back until whole");
+    machine.release();
+    machine.release();
+    while !seen.ends_with(b"0\r\n\r\n") {
+        let part = client.part(1000);
+        assert!(!part.is_empty(), "ended early");
+        seen.extend(part);
+    }
+}
+
+#[test]
+fn a_stream_that_breaks_is_seen_to_be_incomplete() {
+    let machine = Machine::start(Does::Stream(vec!["one"], false));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    client.send(&request("GET", "/tail", 5000, ""));
+    machine.release();
+    machine.release();
+    assert!(client.read().is_none(), "it looked whole");
+}
+
+#[test]
+fn a_wrong_configuration_is_named_and_nothing_starts() {
+    let (discovery, platform, plan) = around(&[]);
+    let good = plan.config(free_address());
+    let complaint = |text: &str| {
+        let path = config_file(text);
+        let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
+            .env_clear()
+            .env("RELAY_CONFIG", &path)
+            .output()
+            .expect("the program runs");
+        let _ = std::fs::remove_file(path);
+        assert_eq!(output.status.code(), Some(2));
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    for (from, to, named) in [
+        ("\"seed\":\"8c", "\"seed\":\"zz", "seed"),
+        ("\"sockets\":1024", "\"sockets\":9", "limits.sockets"),
+        ("\"memory_mb\":192", "\"memory_mb\":\"much\"", "limits.memory_mb"),
+        ("\"mode\":\"COMPLETE\"", "\"mode\":\"ODD\"", "pipeline.news.mode"),
+        ("\"listen\"", "\"gone\"", "listen"),
+        ("\"discovery\"", "\"gone\"", "discovery"),
+        ("\"known\"", "\"gone\"", "known"),
+        ("\"connectTimeout\":250.0", "\"connectTimeout\":-1", "limits.connectTimeout"),
+        ("\"voteMode\":\"timer\"", "\"voteMode\":\"dice\"", "specifics.voteMode"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":0", "limits.maxAttempts"),
+    ] {
+        assert!(good.contains(from), "{from} is not in the configuration");
+        let message = complaint(&good.replace(from, to));
+        assert!(message.contains(named), "{named} is not in {message:?}");
+    }
+    let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front")).env_clear().output();
+    let output = output.expect("the program runs");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("RELAY_CONFIG is not set"));
+    drop((discovery, platform));
+}
+
+#[test]
+fn an_address_in_use_is_a_plain_message() {
+    let (_discovery, _platform, plan) = around(&[]);
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let path = config_file(&plan.config(taken.local_addr().expect("an address")));
+    let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
+        .env_clear()
+        .env("RELAY_CONFIG", &path)
+        .output()
+        .expect("the program runs");
+    let _ = std::fs::remove_file(path);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("listen: "));
+}
