--- /dev/null
+++ b/crates/http/tests/messages.rs
@@ -0,0 +1,219 @@
+//! Messages split at each byte, bodies of every framing, and arbitrary input.
+
+use garnetcrank_http::{
+    Bad, Parsing, Request, RequestReader, Response, ResponseReader, Ring, StreamReader, write_request,
+    write_response,
+};
+
+/// Reads requests from text that comes in the given pieces, through a ring of `most` bytes.
+fn requests(pieces: &[&[u8]], most: usize) -> Result<Vec<Request>, Bad> {
+    let (mut ring, mut reader, mut all) = (Ring::new(most), RequestReader::new(1000), Vec::new());
+    for piece in pieces {
+        let mut rest = *piece;
+        while !rest.is_empty() {
+            let fits = rest.len().min(ring.room());
+            assert!(fits > 0, "a full ring that nothing is taken from");
+            ring.push(&rest[..fits]).expect("room");
+            rest = &rest[fits..];
+            while let Parsing::Done(request) = reader.read(&mut ring)? {
+                all.push(request);
+            }
+        }
+    }
+    Ok(all)
+}
+
+fn answer(text: &[u8], ended: bool) -> Result<Parsing<Response>, Bad> {
+    let mut ring = Ring::new(text.len().max(1));
+    ring.push(text).expect("room");
+    ResponseReader::whole(1000).read(&mut ring, ended)
+}
+
+const TWO: &[u8] = b"POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nX-Y: z\r\n\r\nhello\
+    GET /d HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+const CHUNKED: &[u8] = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n\
+    3;note=1\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: t\r\n\r\n";
+
+#[test]
+fn a_request_is_the_same_wherever_it_is_split() {
+    for text in [TWO, CHUNKED] {
+        let whole = requests(&[text], 4096).expect("requests");
+        assert_eq!(whole[0].body, b"hello");
+        for at in 0..=text.len() {
+            let (first, second) = text.split_at(at);
+            assert_eq!(requests(&[first, second], 4096).expect("requests"), whole, "split at {at}");
+        }
+        let bytes: Vec<&[u8]> = text.chunks(1).collect();
+        assert_eq!(requests(&bytes, 4096).expect("requests"), whole);
+        // A ring that just holds a head wraps many times.
+        assert_eq!(requests(&[text, text, text], 100).expect("requests").len(), whole.len() * 3);
+    }
+    let two = requests(&[TWO], 4096).expect("requests");
+    assert_eq!((two.len(), two[0].target.as_str(), two[0].keep_alive), (2, "/a?b=c", true));
+    assert_eq!((two[1].method.as_str(), two[1].keep_alive), ("GET", false));
+}
+
+#[test]
+fn what_contradicts_itself_is_refused() {
+    let head = |lines: &str| format!("POST / HTTP/1.1\r\nHost: x\r\n{lines}\r\nbody");
+    for (text, status) in [
+        (head("Content-Length: 4\r\nContent-Length: 4\r\n"), 400),
+        (head("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"), 400),
+        (head("Content-Length: +4\r\n"), 400),
+        (head("Content-Length: 4, 4\r\n"), 400),
+        (head("Content-Length: \r\n"), 400),
+        (head("Content-Length: 1001\r\n"), 413),
+        (head("Content-Length: 99999999999999999999999\r\n"), 413),
+        (head("Transfer-Encoding: gzip, chunked\r\n"), 501),
+        (head("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"), 501),
+        (head("Host: y\r\n"), 400),
+        ("POST / HTTP/1.1\r\n\r\n".to_owned(), 400),
+        ("POST / HTTP/1.0\r\nHost: x\r\n\r\n".to_owned(), 505),
+        (head(&"X: y\r\n".repeat(80)), 431),
+        (head(&format!("X: {}\r\n", "y".repeat(20_000))), 431),
+        (format!("{}zz\r\n", head("Transfer-Encoding: chunked\r\n").replace("body", "")), 400),
+    ] {
+        let refused = requests(&[text.as_bytes()], 64 * 1024).expect_err(&text);
+        assert_eq!(refused.status(), status, "{refused} for {text:.120}");
+    }
+}
+
+#[test]
+fn a_body_beyond_the_bound_is_refused_however_it_comes() {
+    let text = format!(
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n{}",
+        "x".repeat(1001)
+    );
+    assert_eq!(requests(&[text.as_bytes()], 64 * 1024), Err(Bad::BodyTooLarge));
+}
+
+#[test]
+fn answers_of_every_framing_are_read_whole() {
+    for (text, ended, keep_alive) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, true),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", false, false),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false, true),
+        ("HTTP/1.1 200 OK\r\n\r\nhello", true, false),
+        ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, true),
+    ] {
+        let Ok(Parsing::Done(response)) = answer(text.as_bytes(), ended) else { panic!("{text:?}") };
+        assert_eq!((response.body.as_slice(), response.keep_alive), (&b"hello"[..], keep_alive), "{text:?}");
+        for at in 0..text.len() {
+            let part = answer(&text.as_bytes()[..at], false);
+            assert!(matches!(part, Ok(Parsing::More)), "{part:?} of {at} bytes of {text:?}");
+        }
+    }
+    let without = answer(b"HTTP/1.1 204 None\r\n\r\n", false);
+    assert!(matches!(without, Ok(Parsing::Done(r)) if r.body.is_empty() && r.keep_alive));
+}
+
+#[test]
+fn an_answer_that_ends_early_is_no_answer() {
+    for text in [
+        "",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    ] {
+        assert_eq!(answer(text.as_bytes(), true), Err(Bad::Truncated), "{text:?}");
+    }
+}
+
+#[test]
+fn a_stream_is_read_line_by_line_wherever_it_is_split() {
+    let text =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none\n\r\n2\r\ntw\r\n3\r\no\n\n\r\n";
+    for at in 0..=text.len() {
+        let (mut ring, mut reader, mut all) = (Ring::new(4096), StreamReader::new(10), Vec::new());
+        for piece in [&text[..at], &text[at..]] {
+            ring.push(piece).expect("room");
+            let (lines, over) = reader.read(&mut ring, false).expect("lines");
+            assert!(!over);
+            all.extend(lines);
+        }
+        assert_eq!(all, [&b"one"[..], b"two", b""], "split at {at}");
+    }
+}
+
+#[test]
+fn a_line_beyond_the_bound_is_refused() {
+    let mut ring = Ring::new(4096);
+    ring.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nelevenbytes\r\n").expect("room");
+    assert_eq!(StreamReader::new(10).read(&mut ring, false), Err(Bad::BodyTooLarge));
+}
+
+#[test]
+fn what_is_written_is_read_back() {
+    let lines: [(&str, &[u8]); 2] = [("Host", b"x"), ("X-Y", b"z")];
+    let mut ring = Ring::new(4096);
+    write_request(&mut ring, "POST", "/a?b", lines.into_iter(), b"body").expect("room");
+    let Ok(Parsing::Done(request)) = RequestReader::new(10).read(&mut ring) else { panic!("no request") };
+    assert_eq!((request.target.as_str(), request.body.as_slice()), ("/a?b", &b"body"[..]));
+    write_response(&mut ring, 503, std::iter::once(("Retry-After", &b"0.250"[..])), Some(b"")).expect("room");
+    let Ok(Parsing::Done(response)) = ResponseReader::whole(10).read(&mut ring, false) else {
+        panic!("none")
+    };
+    assert_eq!((response.status, response.headers.one("retry-after")), (503, Ok(Some("0.250"))));
+    assert!(write_response(&mut Ring::new(10), 200, std::iter::empty(), Some(b"")).is_err());
+}
+
+#[test]
+fn a_go_between_leaves_out_what_concerns_the_connection() {
+    let text = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close, X-Own\r\nX-Own: 1\r\nX-Kept: 2\r\nTE: trailers\r\n\r\n";
+    let request = requests(&[text], 4096).expect("requests").remove(0);
+    let kept: Vec<&str> = request.headers.end_to_end().map(|(name, _)| name).collect();
+    assert_eq!(kept, ["Host", "X-Kept"]);
+}
+
+#[test]
+fn arbitrary_input_is_read_or_refused_and_never_more_than_a_bound() {
+    let parts: [&[u8]; 14] = [
+        b"GET / HTTP/1.1\r\n",
+        b"POST /x HTTP/1.1\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"Host: x\r\n",
+        b"Content-Length: 3\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"\r\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"abc",
+        b"\0\xff\x80",
+        b"\n",
+        b": ",
+        b"ffffffffffffffff\r\n",
+    ];
+    // A small generator of its own: the same input on every run.
+    let mut state = 0x9e37_79b9_7f4a_7c15_u64;
+    let mut next = |below: usize| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state % below as u64) as usize
+    };
+    for _ in 0..20_000 {
+        let (mut ring, mut reader) = (Ring::new(2048), RequestReader::new(50));
+        let (mut back, mut other) = (Ring::new(2048), ResponseReader::whole(50));
+        let (mut request_ok, mut response_ok) = (true, true);
+        for _ in 0..next(12) {
+            let mut piece = parts[next(parts.len())].to_vec();
+            if next(4) == 0 {
+                let at = next(piece.len());
+                piece[at] = next(256) as u8;
+            }
+            if request_ok && ring.push(&piece).is_ok() {
+                request_ok = reader.read(&mut ring).is_ok_and(|p| match p {
+                    Parsing::Done(request) => request.body.len() <= 50,
+                    Parsing::More => true,
+                });
+            }
+            if response_ok && back.push(&piece).is_ok() {
+                response_ok = other.read(&mut back, next(20) == 0).is_ok_and(|p| match p {
+                    Parsing::Done(response) => response.body.len() <= 50,
+                    Parsing::More => other.begun().is_none_or(|r| r.body.len() <= 51),
+                });
+            }
+            assert!(ring.len() <= 2048 && back.len() <= 2048);
+        }
+    }
+}
