--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -186,14 +186,14 @@
                     notes.push(Note::Drained(held));
                     break false;
                 }
-                // What a client sends before its answer is read after it, as is its leaving if both came at once.
+                // What a client sends before its answer is read after it.
                 (State::Held(_) | State::Told, _) => break false,
                 (State::Reading, _) => match client.reader.read(&mut client.conn.input) {
                     Ok(Parsing::Done(request)) => {
                         (client.state, client.moved) = (State::Told, now);
                         client.keep_alive = request.keep_alive;
                         notes.push(Note::Request(id, request));
-                        continue;
+                        break false;
                     }
                     Ok(Parsing::More) if ended => {
                         let midway = client.reader.midway() || !client.conn.input.is_empty();
@@ -237,11 +237,10 @@
         }
     }
 
-    /// The decisions have taken this client's request over.
-    pub fn held(&mut self, id: ConnId, request: RequestId) {
-        if let Some(client) = self.clients.get_mut(&id) {
-            client.state = State::Held(request);
-        }
+    /// The decisions have taken this client's request over. False if it has left meanwhile.
+    pub fn held(&mut self, id: ConnId, request: RequestId) -> bool {
+        let client = self.clients.get_mut(&id);
+        client.map(|c| c.state = State::Held(request)).is_some()
     }
 
     /// Says what is wrong with a request, and closes the connection.
@@ -330,10 +329,14 @@
         self.clients.retain(|_, c| !(c.idle() && c.conn.quiet()));
     }
 
-    /// Gives up what has stalled.
+    /// Gives up what has stalled, and looks whether a client whose request is held has left: its leaving may
+    /// have come together with the request, and then nothing more tells of it.
     pub fn tend(&mut self, now: Micros, notes: &mut Vec<Note>) {
-        let mut stalled = Vec::new();
+        let (mut stalled, mut unread) = (Vec::new(), Vec::new());
         for (id, client) in &self.clients {
+            if matches!(client.state, State::Held(_)) && client.conn.more_to_read() {
+                unread.push(*id);
+            }
             let since = now.saturating_sub(client.moved);
             let limit = match client.state {
                 State::Reading if client.idle() => IDLE,
@@ -345,6 +348,7 @@
                 stalled.push((*id, client.state == State::Reading && !client.idle()));
             }
         }
+        unread.into_iter().for_each(|id| self.go_on(id, now, notes));
         for (id, midway) in stalled {
             if midway {
                 self.answer_bad(id, 408, "the request did not come whole in time", now, notes);
--- a/crates/front/src/driver.rs
+++ b/crates/front/src/driver.rs
@@ -320,3 +320,126 @@
         commands.push(command);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::request::meaning;
+    use garnetcrank_http::{Parsing, RequestReader, Ring};
+
+    const NOW: Micros = 1_700_000_000_000_000;
+
+    fn settings() -> Settings {
+        let settings = serde_json::from_str(include_str!("../tests/settings.json")).expect("JSON");
+        Settings::read(&settings).expect("settings that hold together")
+    }
+
+    fn driver() -> Driver {
+        let mut driver = Driver::new(7, &settings());
+        let entry = Entry { rating: 1.0, ..Entry::default() };
+        driver.news(Event::Fleet(Fleet::Whole { entries: vec![entry], saved: true }));
+        drain(&mut driver);
+        driver
+    }
+
+    fn drain(driver: &mut Driver) -> Vec<Command> {
+        let mut commands = Vec::new();
+        while driver.step(NOW, &mut commands) {}
+        commands.retain(|c| !matches!(c, Command::Timer { .. } | Command::Log(_)));
+        commands
+    }
+
+    fn arrive(driver: &mut Driver, target: &str) -> RequestId {
+        let text = format!(
+            "POST {target} HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nTenant: acme\r\n\
+             Request-Timeout-Ms: 900\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        let mut ring = Ring::new(4096);
+        ring.push(text.as_bytes()).expect("room");
+        let Ok(Parsing::Done(message)) = RequestReader::new(10).read(&mut ring) else { panic!("no request") };
+        let meaning = meaning(&settings(), &message).expect("a request");
+        driver.request(ConnId(1), message, meaning, NOW).0
+    }
+
+    fn done(id: RequestId, attempt: usize, outcome: Outcome) -> Done {
+        Done { id, attempt, outcome, lag: 1000, over: false, load: Vec::new() }
+    }
+
+    #[test]
+    fn a_client_that_left_before_the_placement_leaks_nothing() {
+        let mut driver = driver();
+        for _ in 0..100 {
+            let id = arrive(&mut driver, "/look");
+            assert_eq!((driver.held(), driver.held_bytes()), (1, 2));
+            driver.left(id);
+            let commands = drain(&mut driver);
+            let only_withdrawn = commands.iter().all(|c| matches!(c, Command::Withdraw { .. }));
+            assert!(only_withdrawn, "something is sent or answered for it: {commands:?}");
+            assert!(driver.held.is_empty() && driver.held() == 0 && driver.held_bytes() == 0);
+        }
+        // The module's count of open attempts is right: it sends the next one at once.
+        arrive(&mut driver, "/look");
+        assert!(matches!(drain(&mut driver)[..], [Command::Place { attempt: 0, .. }]));
+    }
+
+    #[test]
+    fn the_first_answer_is_final_and_the_time_over_it_is_nobodys() {
+        let mut driver = driver();
+        let id = arrive(&mut driver, "/pay");
+        assert_eq!(drain(&mut driver).len(), 1);
+        let mut ring = Ring::new(4096);
+        ring.push(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").expect("room");
+        let read = garnetcrank_http::ResponseReader::whole(10).read(&mut ring, false);
+        let Ok(Parsing::Done(answer)) = read else { panic!("no answer") };
+        let mut commands = Vec::new();
+        driver.ended(done(id, 0, Outcome::Served), Some(answer), &mut commands);
+        assert!(matches!(commands[..], [Command::Pass { client: ConnId(1), .. }]));
+        commands.clear();
+        driver.overdue(id, &mut commands);
+        assert!(commands.is_empty() && drain(&mut driver).is_empty() && driver.held.is_empty());
+    }
+
+    #[test]
+    fn a_request_that_nothing_ended_is_failed_when_its_time_is_over() {
+        let mut driver = driver();
+        let id = arrive(&mut driver, "/pay");
+        drain(&mut driver);
+        let mut commands = Vec::new();
+        driver.overdue(id, &mut commands);
+        assert!(matches!(commands[..], [Command::Overdue { client: ConnId(1) }]));
+        assert!(matches!(drain(&mut driver)[..], [Command::Withdraw { attempt: 0, .. }]));
+        driver.ended(done(id, 0, Outcome::Withdrawn), None, &mut commands);
+        assert!(drain(&mut driver).is_empty() && driver.held.is_empty());
+    }
+
+    #[test]
+    fn what_may_have_run_is_failed_and_what_surely_did_not_is_tried_again() {
+        for (outcome, again) in [
+            (Outcome::Broken, false),
+            (Outcome::Error, false),
+            (Outcome::TimedOut, false),
+            (Outcome::Full, true),
+            (Outcome::Unreached, true),
+            (Outcome::Unsent, true),
+        ] {
+            let mut driver = driver();
+            let id = arrive(&mut driver, "/pay");
+            drain(&mut driver);
+            driver.ended(done(id, 0, outcome), None, &mut Vec::new());
+            let commands = drain(&mut driver);
+            match again {
+                true => assert!(matches!(commands[..], [Command::Place { attempt: 1, .. }]), "{commands:?}"),
+                false => assert!(matches!(commands[..], [Command::Fail { .. }]), "{commands:?}"),
+            }
+        }
+    }
+
+    #[test]
+    fn news_goes_in_before_requests_of_the_same_turn() {
+        let mut driver = driver();
+        arrive(&mut driver, "/pay");
+        let drains = Entry { presence: Presence::Draining, rating: 1.0, ..Entry::default() };
+        driver.news(Event::Fleet(Fleet::Changes(vec![drains])));
+        assert!(matches!(drain(&mut driver)[..], [Command::Refuse { .. }]), "sent to a draining machine");
+    }
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -351,7 +351,9 @@
         }
         self.counters.requests += 1;
         let (id, deadline) = self.driver.request(client, message, meaning, now);
-        self.clients.held(client, id);
+        if !self.clients.held(client, id) {
+            self.client_note(clients::Note::Left(id), now);
+        }
         self.timers.set(deadline + OVERDUE, Due::Overdue(id));
     }
 
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -168,6 +168,25 @@
     });
 }
 
+#[test]
+fn a_client_that_leaves_in_the_same_breath_is_noticed_too() {
+    let machine = Machine::start(Does::Nothing);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    for _ in 0..5 {
+        // Its end comes together with its request, before the front has read either.
+        front.signal("STOP");
+        let mut client = front.client();
+        client.send(&request("GET", "/look", 20_000, ""));
+        drop(client);
+        front.signal("CONT");
+    }
+    until("five clients counted as gone", || {
+        front.signal("USR1");
+        front.log().contains(" left=5 ")
+    });
+}
+
 #[test]
 fn a_draining_machine_gets_nothing_new_and_a_new_one_its_share() {
     let (old, new) = (Machine::start(ok("old")), Machine::start(ok("new")));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -388,3 +388,61 @@
     #[serde(default)]
     quota_rps: f64,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{Value, json};
+
+    fn small() -> Value {
+        json!({
+            "balancers": 2, "resolution": 5.0, "myZone": "north", "zones": ["south", "north"],
+            "grades": [{"name": "look", "effect": "repeatable", "goalTime": 400.0, "deadline": 1000.0}],
+            "limits": {"maxAttempts": 3, "retryAfter": true, "maxRetryAfter": 900.0},
+            "safety": {"coldFrom": 0.4, "drainGrace": 500.0, "fall": 2000.0, "fallMultiple": 3.0, "warmAfter": 3000.0},
+            "specifics": {"voteMode": "timer", "ballotTtl": 4000.0, "exposureWindow": 3000.0,
+                "steps": [0.1, 1.0], "mostShares": [0.2, 1.0]},
+            "somethingNew": {"a": 1}
+        })
+    }
+
+    #[test]
+    fn milliseconds_become_microseconds_and_what_is_missing_gets_its_default() {
+        let settings = Settings::read(&small()).expect("settings");
+        assert_eq!(settings.config.classes[0].aim, 400_000);
+        assert_eq!((settings.config.zone, settings.config.retry_advice), (ZoneId(1), Some(900_000)));
+        assert_eq!(settings.config.rollout.caps, [0.2, 1.0]);
+        let transport = settings.transport;
+        assert_eq!((transport.connect_timeout, transport.conn_idle), (250_000, 30_000_000));
+        assert_eq!(transport.most_held, None);
+    }
+
+    #[test]
+    fn the_faulty_key_is_named() {
+        for (pointer, value, named) in [
+            ("/grades/0/deadline", json!("soon"), "grades[0].deadline"),
+            ("/grades/0/effect", json!("odd"), "grades[0].effect"),
+            ("/grades/0/goalTime", json!(0.0), "grades[0]"),
+            ("/grades", json!([]), "grades"),
+            ("/limits/maxAttempts", json!(-1), "limits.maxAttempts"),
+            ("/limits/maxAttempts", json!(0), "limits.maxAttempts"),
+            ("/specifics/steps", json!([]), "specifics.steps"),
+            ("/specifics/mostShares", json!([0.1]), "specifics.mostShares"),
+            ("/safety/fall", json!(null), "safety.fall"),
+        ] {
+            let mut faulty = small();
+            *faulty.pointer_mut(pointer).expect("a key of the object") = value;
+            let message = Settings::read(&faulty).expect_err(pointer).to_string();
+            assert!(message.contains(named), "{named} is not in {message:?}");
+        }
+    }
+
+    #[test]
+    fn two_classes_of_one_name_are_refused() {
+        let mut twice = small();
+        let class = twice["grades"][0].clone();
+        twice["grades"].as_array_mut().expect("a list").push(class);
+        let message = Settings::read(&twice).expect_err("accepted").to_string();
+        assert!(message.contains("grades[1].name"), "{message}");
+    }
+}
