--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -74,7 +74,7 @@
     clients: HashMap<ConnId, Client>,
     /// Every answer is the last one of its connection.
     pub closing: bool,
-    /// There are more of them than can be kept: an answer closes its connection.
+    /// Others wait to be accepted and there is no room: an answer closes its connection.
     pub crowded: bool,
     /// Connections may wait to be accepted.
     pub waiting: bool,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -22,9 +22,8 @@
 /// Descriptors for all but clients and machines: 3 standard streams, 4 of the loop, 2 for the listener, 2 for
 /// discovery, 9 for the platform with its votes, one to read a file, and a margin.
 const RESERVED: usize = 24;
-/// Part of the descriptors for clients beyond those whose requests can be held: their requests are refused
-/// and their connections closed, so that nobody waits unheard. A connection is never closed before its answer:
-/// a request may be on its way on it.
+/// Part of the descriptors for clients beyond those whose requests can be held: their requests are refused,
+/// so that nobody waits unheard. A connection is never closed before its answer: a request may be on its way.
 const CROWD: usize = 32;
 /// Part of the memory that bodies of held requests may take.
 const BODY_PART: u64 = 8;
@@ -189,13 +188,15 @@
 
     /// Takes clients in while there is room, which idle connections to machines make way for.
     fn accept(&mut self, now: Micros) {
-        self.clients.crowded = self.clients.len() > self.most_held;
+        self.clients.crowded = false;
         for _ in 0..ACCEPTS {
             if !self.clients.waiting {
                 return;
             }
             let full = self.clients.len() >= self.most_clients;
             if full || !self.room() && !self.make_room() {
+                // Those who wait get in as soon as answers close connections.
+                self.clients.crowded = true;
                 self.counters.accepts_paused += 1;
                 return;
             }
