--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -36,6 +36,10 @@
 /// Reads path and headers.
 pub fn meaning(settings: &Settings, request: &Request) -> Result<Meaning, Odd> {
     let headers = &request.headers;
+    // An answer to these is framed unlike others, or is none that a machine makes.
+    if matches!(request.method.as_str(), "HEAD" | "CONNECT" | "TRACE") {
+        return Err((501, "a method that is not passed on"));
+    }
     let path = request.target.strip_prefix('/').unwrap_or_default();
     let first = path.split(['/', '?']).next().unwrap_or_default();
     let class = settings.classes.iter().position(|c| c == first).ok_or((404, "no such class of request"))?;
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -87,6 +87,7 @@
         (request("POST", "/book", 1000, "ab").replace("Content-Length: 2", "Content-Length: 99999999"), 413),
         (request("POST", "/book", 1000, "ab").replace("Content-Length: 2", "Transfer-Encoding: gzip"), 501),
         (good.replace("HTTP/1.1", "HTTP/1.0"), 505),
+        (good.replace("GET", "HEAD"), 501),
         (long, 431),
     ] {
         let mut client = front.client();
@@ -98,6 +99,16 @@
     assert_eq!(front.client().say(&good).expect("an answer").status(), 200, "it serves on");
 }
 
+#[test]
+fn a_request_that_never_comes_whole_is_given_up() {
+    let (_discovery, _platform, plan) = around(&[]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    let answer = client.say("POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf");
+    assert_eq!(answer.expect("an answer").status(), 408);
+    assert!(client.ended());
+}
+
 #[test]
 fn each_way_in_which_an_attempt_can_end_is_told_apart() {
     // Where an attempt may have run, a request that must not run twice is failed and never sent again.
@@ -106,6 +117,7 @@
         (Does::Answer(503, "", Vec::new()), 502),
         (Does::Close, 502),
         (Does::Nonsense, 502),
+        (Does::Answer(200, "", vec![b'x'; 70_000]), 502),
         (Does::Answer(503, "Not-Started: 1\r\n", Vec::new()), 503),
         (Does::Answer(504, "Not-Started: 1\r\n", Vec::new()), 503),
     ] {
