Clients may take all descriptors that held requests do not need for machines

Seen when started by the README: a deployment that holds 200 requests at the most let only 232 clients connect at 1,024 descriptors (front.rs, new).

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -80,7 +80,7 @@
         let crowd = descriptors / CROWD + 1;
         // A held request takes its client's connection and one to a machine.
         let most_held = settings.transport.most_held.unwrap_or(usize::MAX).min((descriptors - crowd) / 2);
-        let most_clients = most_held + crowd;
+        let most_clients = descriptors - most_held;
         let mut front = Front {
             clients: Clients::listen(&handle, process.listen)?,
             machines: Machines::new(settings.transport.clone()),
