One piece each for room, the last header line, backoff, faulty keys and unstarted attempts

Read once more: the way to a free descriptor stood twice in front.rs, the choice to close a connection three times in clients.rs, the backoff twice in watch.rs, the words for a faulty key in two packages, an attempt that could not start in two forms, the closing of idle connections twice in machines.rs. A streamed answer that announced the end of its connection now keeps to it. The log line for a connection that cannot be started also says when it is tried again. No test was changed.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -263,28 +263,27 @@
         now: Micros,
         notes: &mut Vec<Note>,
     ) {
+        let last = self.closing || self.crowded;
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let close = self.closing || self.crowded || !client.keep_alive;
-        let last: Option<(&str, &[u8])> = close.then_some(("Connection", b"close"));
-        let written = write_response(&mut client.conn.output, status, headers.chain(last), Some(body));
+        let headers = headers.chain(client.last_line(last));
+        let written = write_response(&mut client.conn.output, status, headers, Some(body));
         if written.is_err() {
             // It cannot be sent whole, so it is not begun: the client sees the connection end.
             self.clients.remove(&id);
             return;
         }
-        client.moved = now;
-        client.state = if close { State::Closing } else { State::Reading };
+        client.answered(now);
         self.go_on(id, now, notes);
     }
 
     /// Begins a streamed answer.
     pub fn begin<'a>(&mut self, id: ConnId, headers: impl Iterator<Item = (&'a str, &'a [u8])>) {
+        let last = self.closing || self.crowded;
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let close = self.closing || self.crowded || !client.keep_alive;
-        let last: Option<(&str, &[u8])> = close.then_some(("Connection", b"close"));
         client.streaming = true;
+        let headers = headers.chain(client.last_line(last));
         // The ring is empty between answers, and a head is bounded.
-        let _ = write_response(&mut client.conn.output, 200, headers.chain(last), None);
+        let _ = write_response(&mut client.conn.output, 200, headers, None);
     }
 
     /// Passes a part of a streamed answer on. True if the client takes it slower than it comes.
@@ -304,13 +303,14 @@
 
     /// Ends a streamed answer.
     pub fn finish(&mut self, id: ConnId, now: Micros, notes: &mut Vec<Note>) {
+        let last = self.closing || self.crowded;
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let close = self.closing || self.crowded || !client.keep_alive;
+        client.keep_alive &= !last;
         if client.conn.output.push(b"0\r\n\r\n").is_err() {
             return self.break_off(id);
         }
-        (client.moved, client.streaming) = (now, false);
-        client.state = if close { State::Closing } else { State::Reading };
+        client.streaming = false;
+        client.answered(now);
         self.go_on(id, now, notes);
     }
 
@@ -360,6 +360,18 @@
 }
 
 impl Client {
+    /// The header line that ends this connection, if its answer is the last one on it.
+    fn last_line(&mut self, last: bool) -> Option<(&'static str, &'static [u8])> {
+        self.keep_alive &= !last;
+        (!self.keep_alive).then_some(("Connection", b"close"))
+    }
+
+    /// Its answer stands whole in the ring.
+    fn answered(&mut self, now: Micros) {
+        self.moved = now;
+        self.state = if self.keep_alive { State::Reading } else { State::Closing };
+    }
+
     fn idle(&self) -> bool {
         let nothing = self.conn.input.is_empty() && self.conn.output.is_empty();
         self.state == State::Reading && !self.reader.midway() && nothing
--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -231,8 +231,8 @@
             news.fleet.push(Fleet::Unreachable);
         }
         if self.wanted {
-            let target = format!("/v1/servers?stream=1&index={}", self.roster.revision);
-            let lost = self.watch.tend(handle, ids, Who::Discovery, now, &target);
+            let target = || format!("/v1/servers?stream=1&index={}", self.roster.revision);
+            let lost = self.watch.tend(handle, ids, Who::Discovery, now, target);
             self.lost(lost, &mut news);
         }
         news
--- a/crates/front/src/driver.rs
+++ b/crates/front/src/driver.rs
@@ -258,10 +258,10 @@
         self.events.push_back(Event::Done(done));
     }
 
-    /// An attempt that could not be sent at all.
-    pub fn unsent(&mut self, id: RequestId, attempt: usize) {
+    /// An attempt that could not even be started.
+    pub fn not_started(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
         let over = self.get(id).is_none();
-        let (outcome, lag, load) = (Outcome::Unsent, 0, Vec::new());
+        let (lag, load) = (0, Vec::new());
         self.events.push_back(Event::Done(Done { id, attempt, outcome, lag, over, load }));
     }
 
@@ -293,7 +293,7 @@
                 let until = time_out.map_or(held.deadline, |t| held.deadline.min(now + t));
                 let allowed = attempt < self.config.max_attempts && (until > now || streamed);
                 if !allowed || !held.owed || held.begun.is_some() {
-                    return self.unsent(id, attempt);
+                    return self.not_started(id, attempt, Outcome::Unsent);
                 }
                 Command::Place { id, attempt, machine, until }
             }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,6 +4,7 @@
 
 use calloop::Readiness;
 use garnetcrank::interface::*;
+use garnetcrank_http::Headers;
 use rustix::process::{Resource, getrlimit};
 use tracing::{info, warn};
 
@@ -216,6 +217,11 @@
         made
     }
 
+    /// Whether an exchange with this machine can have a connection; a kept one to another may make way.
+    fn room_for(&mut self, machine: MachineId) -> bool {
+        self.machines.has_idle(machine) || self.room() || self.make_room()
+    }
+
     fn due(&mut self, due: Due, now: Micros) {
         match due {
             Due::Decisions(token) => self.driver.event(Event::Timer(token)),
@@ -367,9 +373,7 @@
             }
             Command::Pass { client, answer } => {
                 self.counters.passed += 1;
-                let lines = answer.headers.end_to_end();
-                let lines = lines.filter(|(name, _)| !name.eq_ignore_ascii_case("server-load"));
-                self.clients.answer(client, 200, lines, &answer.body, now, notes);
+                self.clients.answer(client, 200, passed_on(&answer.headers), &answer.body, now, notes);
             }
             Command::Refuse { client, come_back } => {
                 self.counters.refused += 1;
@@ -386,8 +390,7 @@
                 self.clients.answer(client, 504, std::iter::empty(), b"", now, notes);
             }
             Command::Begin { client, headers } => {
-                let lines = headers.end_to_end();
-                self.clients.begin(client, lines.filter(|(n, _)| !n.eq_ignore_ascii_case("server-load")));
+                self.clients.begin(client, passed_on(&headers));
             }
             Command::Finish { client, whole: true } => {
                 self.counters.passed += 1;
@@ -400,7 +403,7 @@
             Command::Timer { at, token } => self.timers.set(at, Due::Decisions(token)),
             Command::Probe(machine) => {
                 self.counters.probes += 1;
-                let started = match self.machines.has_idle(machine) || self.room() || self.make_room() {
+                let started = match self.room_for(machine) {
                     true => self.machines.probe(&self.handle, &mut self.ids, now, machine),
                     false => Err(Outcome::Unsent),
                 };
@@ -425,13 +428,12 @@
 
     fn place(&mut self, id: RequestId, attempt: usize, machine: MachineId, until: Micros, now: Micros) {
         // Its client may have left since the decision.
-        let Some(held) = self.driver.get(id) else { return self.driver.unsent(id, attempt) };
-        let streamed = self.settings.config.classes[held.class.0].streamed;
-        let mut room = self.machines.has_idle(machine) || self.room();
-        if !room {
-            room = self.machines.evict_idle();
-            self.counters.idle_evicted += u64::from(room);
+        if self.driver.get(id).is_none() {
+            return self.driver.not_started(id, attempt, Outcome::Unsent);
         }
+        let room = self.room_for(machine);
+        let Some(held) = self.driver.get(id) else { return };
+        let streamed = self.settings.config.classes[held.class.0].streamed;
         let job = Job { id, attempt, machine, request: &held.message, until, streamed };
         let started = match room {
             true => self.machines.attempt(&self.handle, &mut self.ids, now, &job),
@@ -442,8 +444,7 @@
         };
         self.started(started, now).unwrap_or_else(|outcome| {
             self.count(outcome);
-            let done = Done { id, attempt, outcome, lag: 0, over: false, load: Vec::new() };
-            self.driver.ended(done, None, &mut self.commands);
+            self.driver.not_started(id, attempt, outcome);
         });
     }
 
@@ -471,3 +472,8 @@
         info!("{c} peak_memory_kib={memory_kib} cpu_ms={cpu_ms}");
     }
 }
+
+/// Headers of a machine's answer that are meant for the client: its load report is meant for us.
+fn passed_on(headers: &Headers) -> impl Iterator<Item = (&str, &[u8])> {
+    headers.end_to_end().filter(|(name, _)| !name.eq_ignore_ascii_case("server-load"))
+}
--- a/crates/front/src/machines.rs
+++ b/crates/front/src/machines.rs
@@ -169,13 +169,12 @@
     /// under way on one ends by itself.
     pub fn place(&mut self, place: &Place) {
         let endpoint = self.endpoints.entry(place.machine).or_default();
-        if place.renewed || endpoint.address.is_some() && endpoint.address != place.address {
+        let moved = endpoint.address.is_some() && endpoint.address != place.address;
+        endpoint.address = place.address;
+        if place.renewed || moved {
             endpoint.generation += 1;
-            for id in endpoint.idle.drain(..) {
-                self.links.remove(&id);
-            }
+            self.close_idle(place.machine);
         }
-        endpoint.address = place.address;
     }
 
     /// Starts an attempt. An error is the outcome of one that could not start.
@@ -291,7 +290,7 @@
                 }
                 return;
             };
-            let step = under_way.exchange.step(&mut link.conn);
+            let mut step = under_way.exchange.step(&mut link.conn);
             let Purpose::Attempt { id: request, attempt, streamed: true } = under_way.purpose else {
                 return self.stepped(id, step, now, notes);
             };
@@ -304,8 +303,8 @@
             if !under_way.begun {
                 return self.stepped(id, step, now, notes);
             }
-            let bytes = match &step {
-                Step::Answer { response, .. } => response.body.clone(),
+            let bytes = match &mut step {
+                Step::Answer { response, .. } => std::mem::take(&mut response.body),
                 _ => under_way.exchange.reader().take_body(),
             };
             let more = !bytes.is_empty();
--- a/crates/front/src/platform.rs
+++ b/crates/front/src/platform.rs
@@ -163,10 +163,15 @@
 
     /// Connects where that is due, and gives up what has been silent for too long.
     pub fn tend(&mut self, handle: &Handle, ids: &mut ConnIds, now: Micros) -> Vec<Event> {
-        let lost = self.watch.tend(handle, ids, Who::Platform, now, "/events");
+        let lost = self.watch.tend(handle, ids, Who::Platform, now, || "/events".to_owned());
         self.reconnects += u64::from(lost);
-        let ends: Vec<CallEnd> = self.votes.iter().filter_map(|v| v.late(now)).collect();
-        self.votes.retain(|v| v.late(now).is_none());
+        let mut ends = Vec::new();
+        self.votes.retain(|vote| {
+            let end = vote.late(now);
+            let goes_on = end.is_none();
+            ends.extend(end);
+            goes_on
+        });
         ends.into_iter().map(|end| self.voted(end, now)).collect()
     }
 
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use garnetcrank_settings::Settings;
+use garnetcrank_settings::{Faulty, Settings};
 use serde::Deserialize;
 
 use crate::discovery::List;
@@ -75,10 +75,7 @@
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File =
-            serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
-                path if path == "." => e.inner().to_string(),
-                path => format!("{path}: {}", e.inner()),
-            })?;
+            serde_path_to_error::deserialize(&mut json).map_err(|e| Faulty::from(e).to_string())?;
         let address = |name: &str, key: &str, told: Option<SocketAddr>| match variable(name) {
             Some(text) => text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port")),
             None => told.ok_or_else(|| format!("{key} is missing")),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -62,12 +62,16 @@
     /// Gives the connection up, for a reason that on-call should know.
     pub fn lose(&mut self, now: Micros, reason: &str) {
         if self.open.take().is_some() {
-            warn!("{}: {reason}; connecting anew in {} ms", self.name, self.wait / MS);
-            self.again_at = now + self.wait;
-            self.wait = (self.wait * 2).min(AGAIN_MOST);
+            self.later(now, reason);
         }
     }
 
+    fn later(&mut self, now: Micros, reason: &str) {
+        warn!("{}: {reason}; connecting anew in {} ms", self.name, self.wait / MS);
+        self.again_at = now + self.wait;
+        self.wait = (self.wait * 2).min(AGAIN_MOST);
+    }
+
     /// Connects where that is due. True when a connection was given up or could not be started.
     pub fn tend(
         &mut self,
@@ -75,7 +79,7 @@
         ids: &mut ConnIds,
         who: fn(ConnId) -> Who,
         now: Micros,
-        target: &str,
+        target: impl FnOnce() -> String,
     ) -> bool {
         if self.open.is_some() {
             let silent = now >= self.heard + self.silence;
@@ -91,7 +95,7 @@
         let host = self.to.to_string();
         let started = Conn::connect(handle, self.to, who(id), RING_MOST, RING_MOST).and_then(|mut conn| {
             let lines = std::iter::once(("Host", host.as_bytes()));
-            write_request(&mut conn.output, "GET", target, lines, b"")
+            write_request(&mut conn.output, "GET", &target(), lines, b"")
                 .map_err(|_| std::io::Error::other("a request larger than its buffer"))?;
             Ok(conn)
         });
@@ -103,9 +107,7 @@
                 false
             }
             Err(e) => {
-                warn!("{}: cannot connect: {e}", self.name);
-                self.again_at = now + self.wait;
-                self.wait = (self.wait * 2).min(AGAIN_MOST);
+                self.later(now, &format!("cannot connect: {e}"));
                 true
             }
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -49,14 +49,19 @@
 
 impl std::error::Error for Faulty {}
 
+impl<E: std::fmt::Display> From<serde_path_to_error::Error<E>> for Faulty {
+    fn from(error: serde_path_to_error::Error<E>) -> Self {
+        match error.path().to_string().as_str() {
+            "." => Faulty(error.inner().to_string()),
+            path => Faulty(format!("{path}: {}", error.inner())),
+        }
+    }
+}
+
 impl Settings {
     /// Reads a settings object; an error names the path of the faulty key.
     pub fn read(json: &serde_json::Value) -> Result<Self, Faulty> {
-        let raw: Raw =
-            serde_path_to_error::deserialize(json).map_err(|e| match e.path().to_string().as_str() {
-                "." => Faulty(e.inner().to_string()),
-                path => Faulty(format!("{path}: {}", e.inner())),
-            })?;
+        let raw: Raw = serde_path_to_error::deserialize(json)?;
         Settings::try_from(raw)
     }
 }
