Heads of requests and answers are taken from the ring in one place; tests share their set-ups

The bounds, messages and assertions are the same as before; the tests of messages and of the whole program pass unchanged in what they ask for.

--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -3,7 +3,7 @@
 mod stand_ins;
 
 use std::net::{SocketAddr, TcpListener};
-use std::process::Command;
+use std::process::{Command, Output};
 
 use stand_ins::*;
 
@@ -11,17 +11,39 @@
     Does::Answer(200, "X-Made-By: machine\r\n", body.as_bytes().to_vec())
 }
 
-/// Discovery, a platform, a plan and the list for these machines.
+/// Discovery, a platform and a plan for these machines, of a released build.
 fn around(machines: &[SocketAddr]) -> (Source, Source, Plan) {
     let members: Vec<String> =
         machines.iter().enumerate().map(|(i, a)| member(&format!("s-{i}"), *a, 4, "Ready")).collect();
-    let known = list(1, true, &members);
+    standing(&members, state(4, 1, "COMPLETE", 1.0))
+}
+
+/// The same for a machine of the released build and one of a build on trial that may take everything.
+fn on_trial(old: &Machine, new: &Machine) -> (Source, Source, Plan) {
+    let members = [member("s-0", old.address, 4, "Ready"), member("s-1", new.address, 5, "Ready")];
+    standing(&members, state(5, 0, "IN_PROGRESS", 1.0))
+}
+
+fn standing(members: &[String], news: String) -> (Source, Source, Plan) {
+    let known = list(1, true, members);
     let discovery = Source::start(&known);
-    let platform = Source::start(&progress(&state(4, 1, "COMPLETE", 1.0)));
-    let plan = Plan::new(&known, &discovery, &platform);
+    let platform = Source::start(&progress(&news));
+    let plan = Plan::new(&known, news, &discovery, &platform);
     (discovery, platform, plan)
 }
 
+/// The program's end on a configuration on which it must not serve.
+fn refuses(text: &str) -> Output {
+    let path = config_file(text);
+    let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
+        .env_clear()
+        .env("RELAY_CONFIG", &path)
+        .output()
+        .expect("the program runs");
+    let _ = std::fs::remove_file(path);
+    output
+}
+
 #[test]
 fn a_calm_exchange_passes_everything_through_unchanged() {
     let machine = Machine::start(ok("an answer\0with any bytes"));
@@ -172,7 +194,7 @@
         drop(client);
     }
     machine.now_does(ok("yes"));
-    assert_eq!(front.client().say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    assert_eq!(front.client().look().status(), 200);
     until("five clients counted as gone", || {
         front.signal("USR1");
         let log = front.log();
@@ -205,15 +227,13 @@
     let (discovery, _platform, plan) = around(&[old.address]);
     let front = Running::start(&plan);
     let mut client = front.client();
-    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"old");
+    assert_eq!(client.look().body, b"old");
     let change = [member("s-0", old.address, 4, "Terminating"), member("s-9", new.address, 4, "Ready")];
     discovery.tell(&list(2, false, &change), &list(2, true, &change));
-    until("answers from the new machine", || {
-        client.say(&request("GET", "/look", 9000, "")).expect("an answer").body == b"new"
-    });
+    until("answers from the new machine", || client.look().body == b"new");
     let sent = old.requests().len();
     for _ in 0..20 {
-        assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"new");
+        assert_eq!(client.look().body, b"new");
     }
     assert_eq!(old.requests().len(), sent);
 }
@@ -224,24 +244,16 @@
     let (discovery, _platform, plan) = around(&[before.address]);
     let front = Running::start(&plan);
     let mut client = front.client();
-    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"before");
+    assert_eq!(client.look().body, b"before");
     let change = [member("s-0", after.address, 4, "Ready")];
     discovery.tell(&list(2, false, &change), &list(2, true, &change));
-    until("answers from the new address", || {
-        client.say(&request("GET", "/look", 9000, "")).expect("an answer").body == b"after"
-    });
+    until("answers from the new address", || client.look().body == b"after");
 }
 
 #[test]
 fn a_cap_of_nothing_keeps_requests_off_a_build_on_trial() {
     let (old, new) = (Machine::start(ok("old")), Machine::start(ok("new")));
-    let (_discovery, platform, mut plan) = around(&[]);
-    let members = [member("s-0", old.address, 4, "Ready"), member("s-1", new.address, 5, "Ready")];
-    let known = list(1, true, &members);
-    let discovery = Source::start(&known);
-    (plan.known, plan.discovery) = (known, discovery.address);
-    plan.news = state(5, 0, "IN_PROGRESS", 1.0);
-    platform.tell("{}", &progress(&plan.news));
+    let (_discovery, platform, plan) = on_trial(&old, &new);
     let front = Running::start(&plan);
     let mut client = front.client();
     until("the build on trial is used", || {
@@ -252,7 +264,7 @@
     until("the lower cap is known", || front.log().contains("GoingBack"));
     let sent = new.requests().len();
     for _ in 0..20 {
-        assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").body, b"old");
+        assert_eq!(client.look().body, b"old");
     }
     assert_eq!(new.requests().len(), sent);
 }
@@ -260,19 +272,13 @@
 #[test]
 fn a_failing_build_is_voted_back_and_the_answer_is_news() {
     let (old, new) = (Machine::start(ok("old")), Machine::start(Does::Answer(500, "", Vec::new())));
-    let members = [member("s-0", old.address, 4, "Ready"), member("s-1", new.address, 5, "Ready")];
-    let known = list(1, true, &members);
-    let discovery = Source::start(&known);
-    let news = state(5, 0, "IN_PROGRESS", 1.0);
-    let platform = Source::start(&progress(&news));
-    platform.answer_votes(200, &news);
-    let mut plan = Plan::new(&known, &discovery, &platform);
-    plan.news = news;
+    let (_discovery, platform, plan) = on_trial(&old, &new);
+    platform.answer_votes(200, &plan.news);
     let front = Running::start(&plan);
     let mut client = front.client();
     let voted = |ruling: &str| platform.votes().iter().any(|v| v.contains(ruling));
     until("a vote to hold, then one back", || {
-        client.say(&request("GET", "/look", 9000, "")).expect("an answer");
+        client.look();
         if voted("HOLD") {
             platform.answer_votes(200, &state(5, 0, "ROLLING_BACK", 0.0));
         }
@@ -294,7 +300,7 @@
         log.contains("discovery: no sign of life") && log.contains("platform: no sign of life")
     });
     let mut client = front.client();
-    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    assert_eq!(client.look().status(), 200);
     discovery.silence(false);
     platform.silence(false);
     discovery.cut();
@@ -316,7 +322,7 @@
     platform.tell("][", &progress(&plan.news));
     until("new connections", || discovery.asked().len() > asked && platform.asked().len() > heard);
     assert!(front.log().contains("can't be read"));
-    assert_eq!(front.client().say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    assert_eq!(front.client().look().status(), 200);
 }
 
 #[test]
@@ -362,12 +368,12 @@
     let first = Running::start(&plan);
     plan.listen = Some(first.address);
     let mut client = first.client();
-    assert_eq!(client.say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    assert_eq!(client.look().status(), 200);
     first.signal("KILL");
     assert!(client.ended());
     drop(first);
     let second = Running::start(&plan);
-    assert_eq!(second.client().say(&request("GET", "/look", 9000, "")).expect("an answer").status(), 200);
+    assert_eq!(second.client().look().status(), 200);
 }
 
 #[test]
@@ -436,13 +442,7 @@
     let (discovery, platform, plan) = around(&[]);
     let good = plan.config(free_address());
     let complaint = |text: &str| {
-        let path = config_file(text);
-        let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
-            .env_clear()
-            .env("RELAY_CONFIG", &path)
-            .output()
-            .expect("the program runs");
-        let _ = std::fs::remove_file(path);
+        let output = refuses(text);
         assert_eq!(output.status.code(), Some(2));
         String::from_utf8_lossy(&output.stderr).into_owned()
     };
@@ -473,13 +473,7 @@
 fn an_address_in_use_is_a_plain_message() {
     let (_discovery, _platform, plan) = around(&[]);
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let path = config_file(&plan.config(taken.local_addr().expect("an address")));
-    let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
-        .env_clear()
-        .env("RELAY_CONFIG", &path)
-        .output()
-        .expect("the program runs");
-    let _ = std::fs::remove_file(path);
+    let output = refuses(&plan.config(taken.local_addr().expect("an address")));
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stderr).contains("listen: "));
 }
--- a/crates/front/tests/stand_ins/mod.rs
+++ b/crates/front/tests/stand_ins/mod.rs
@@ -349,11 +349,11 @@
 }
 
 impl Plan {
-    /// With everything released, and the list that discovery tells.
-    pub fn new(known: &str, discovery: &Source, platform: &Source) -> Plan {
+    /// With the list and the news that these tell.
+    pub fn new(known: &str, news: String, discovery: &Source, platform: &Source) -> Plan {
         Plan {
             known: known.to_owned(),
-            news: state(4, 1, "COMPLETE", 1.0),
+            news,
             discovery: discovery.address,
             platform: platform.address,
             sockets: 1024,
@@ -499,6 +499,11 @@
         self.read()
     }
 
+    /// Sends a request that is safe to repeat, with plenty of time, and reads the answer.
+    pub fn look(&mut self) -> Message {
+        self.say(&request("GET", "/look", 9000, "")).expect("an answer")
+    }
+
     /// Whether the other side has ended the connection.
     pub fn ended(&mut self) -> bool {
         let mut rest = Vec::new();
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -297,38 +297,51 @@
     }
 }
 
-fn request_head(ring: &mut Ring) -> Result<Option<Request>, Bad> {
+/// Takes a head from the ring once it is whole. `parse` says how long it is and what it means.
+fn take_head<T>(
+    ring: &mut Ring,
+    parse: impl FnOnce(&[u8]) -> Result<Option<(usize, T)>, Bad>,
+) -> Result<Option<T>, Bad> {
     if ring.is_empty() {
         return Ok(None);
     }
     let bytes = ring.contiguous();
-    let mut lines = [httparse::EMPTY_HEADER; HEADERS_MOST];
-    let mut head = httparse::Request::new(&mut lines);
     let seen = &bytes[..bytes.len().min(HEAD_MOST)];
-    match head.parse(seen).map_err(head_error)? {
-        httparse::Status::Partial if seen.len() == HEAD_MOST => Err(Bad::HeadTooLarge),
-        httparse::Status::Partial => Ok(None),
-        httparse::Status::Complete(length) => {
-            if head.version != Some(1) {
-                return Err(Bad::Version);
-            }
-            let headers = Headers::read(head.headers);
-            let request = Request {
-                method: head.method.unwrap_or_default().to_owned(),
-                target: head.path.unwrap_or_default().to_owned(),
-                keep_alive: !headers.names("connection", "close"),
-                headers,
-                body: Vec::new(),
-            };
-            if request.headers.one("host")?.is_none() {
-                return Err(Bad::Malformed("no Host"));
-            }
+    match parse(seen)? {
+        None if seen.len() == HEAD_MOST => Err(Bad::HeadTooLarge),
+        None => Ok(None),
+        Some((length, head)) => {
             ring.consume(length);
-            Ok(Some(request))
+            Ok(Some(head))
         }
     }
 }
 
+fn request_head(ring: &mut Ring) -> Result<Option<Request>, Bad> {
+    take_head(ring, |bytes| {
+        let mut lines = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Request::new(&mut lines);
+        let httparse::Status::Complete(length) = head.parse(bytes).map_err(head_error)? else {
+            return Ok(None);
+        };
+        if head.version != Some(1) {
+            return Err(Bad::Version);
+        }
+        let headers = Headers::read(head.headers);
+        if headers.one("host")?.is_none() {
+            return Err(Bad::Malformed("no Host"));
+        }
+        let request = Request {
+            method: head.method.unwrap_or_default().to_owned(),
+            target: head.path.unwrap_or_default().to_owned(),
+            keep_alive: !headers.names("connection", "close"),
+            headers,
+            body: Vec::new(),
+        };
+        Ok(Some((length, request)))
+    })
+}
+
 /// An answer: whole, or as far as it has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Response {
@@ -409,28 +422,21 @@
 }
 
 fn response_head(ring: &mut Ring) -> Result<Option<Response>, Bad> {
-    if ring.is_empty() {
-        return Ok(None);
-    }
-    let bytes = ring.contiguous();
-    let mut lines = [httparse::EMPTY_HEADER; HEADERS_MOST];
-    let mut head = httparse::Response::new(&mut lines);
-    let seen = &bytes[..bytes.len().min(HEAD_MOST)];
-    match head.parse(seen).map_err(head_error)? {
-        httparse::Status::Partial if seen.len() == HEAD_MOST => Err(Bad::HeadTooLarge),
-        httparse::Status::Partial => Ok(None),
-        httparse::Status::Complete(length) => {
-            let headers = Headers::read(head.headers);
-            let response = Response {
-                status: head.code.unwrap_or_default(),
-                keep_alive: head.version == Some(1) && !headers.names("connection", "close"),
-                headers,
-                body: Vec::new(),
-            };
-            ring.consume(length);
-            Ok(Some(response))
-        }
-    }
+    take_head(ring, |bytes| {
+        let mut lines = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Response::new(&mut lines);
+        let httparse::Status::Complete(length) = head.parse(bytes).map_err(head_error)? else {
+            return Ok(None);
+        };
+        let headers = Headers::read(head.headers);
+        let response = Response {
+            status: head.code.unwrap_or_default(),
+            keep_alive: head.version == Some(1) && !headers.names("connection", "close"),
+            headers,
+            body: Vec::new(),
+        };
+        Ok(Some((length, response)))
+    })
 }
 
 /// An answer that stays open and carries one text a line.
