SIGHUP moves discovery and platform to the new file's addresses; whole lines stand

RELAY_DISCOVERY would have kept the old address. Also: StreamReader dropped lines read whole when noise followed in the same read; a watch that never came up was given up after the whole silence limit (5 s) only; its backoff went to 2 s where news has 4 s. Now: Process is read again by the same reader, RELAY_DISCOVERY counts at the start only, a faulty file changes nothing, keys that need a restart are named; connections are given up after 1 s of connecting; backoff up to 0.8 s.

--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -77,6 +77,10 @@
     votes_counted,
     /// News that was older than what was known.
     stale_news,
+    /// Times the configuration was read again.
+    reloads,
+    /// ... and was missing or faulty.
+    reloads_refused,
     /// Longest turn of the loop, in microseconds.
     longest_turn_us,
     /// Most clients connected at once.
--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -192,6 +192,14 @@
         FleetNews { fleet: vec![fleet], places }
     }
 
+    /// The configuration was read again. The list held stays, unless the one told there is newer; the next
+    /// connection goes to the new address, at once.
+    pub fn renew(&mut self, address: SocketAddr, known: List) -> FleetNews {
+        self.address = address;
+        self.watch.retarget(address);
+        if known.revision > self.roster.revision { self.known(known) } else { FleetNews::default() }
+    }
+
     /// The decisions subscribe, or no longer want to.
     pub fn subscribe(&mut self, want: bool) {
         self.wanted = want || self.pushed;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -16,7 +16,7 @@
 use crate::machines::{self, Job, Machines};
 use crate::phase::{Change, Life};
 use crate::platform::Platform;
-use crate::process::Process;
+use crate::process::{Fixed, Process};
 use crate::ready::{Asked, ConnId, ConnIds, Handle, Ready, Who};
 use crate::request::meaning;
 
@@ -59,6 +59,7 @@
     life: Life,
     counters: Counters,
     settings: garnetcrank_settings::Settings,
+    fixed: Fixed,
     descriptors: usize,
     most_clients: usize,
     most_held: usize,
@@ -73,6 +74,7 @@
     pub fn new(handle: Handle, process: Process) -> io::Result<Self> {
         let clock = Clock::start();
         let now = clock.now();
+        let fixed = Fixed::of(&process);
         let Process { settings, sockets, memory_mb, .. } = process;
         // The system's own limit may be below the one told.
         let system = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
@@ -95,6 +97,7 @@
             life: Life::start(now),
             counters: Counters::default(),
             settings,
+            fixed,
             descriptors,
             most_clients,
             most_held,
@@ -131,6 +134,7 @@
         for asked in ready.asked.drain(..) {
             match asked {
                 Asked::Counters => self.print_counters(),
+                Asked::Reload => self.reload(now),
                 Asked::Stop => self.clients.closing |= self.life.stop(now),
             }
         }
@@ -157,6 +161,35 @@
         c.peak_held = c.peak_held.max(self.driver.held() as u64);
     }
 
+    /// Reads the configuration again. A faulty one changes nothing; nothing that is held is dropped.
+    fn reload(&mut self, now: Micros) {
+        let renewal = match self.fixed.read_again(|name| std::env::var(name).ok()) {
+            Ok(renewal) => renewal,
+            Err(message) => {
+                self.counters.reloads_refused += 1;
+                return warn!("reload: {message}; all stays as it was");
+            }
+        };
+        self.counters.reloads += 1;
+        info!("reload: discovery at {}, platform at {}", renewal.discovery, renewal.platform);
+        for key in &renewal.fixed {
+            warn!("reload: {key}: a new value counts from the next start on");
+        }
+        let news = self.discovery.renew(renewal.discovery, renewal.known);
+        self.fleet(news);
+        let stage = self.platform.renew(renewal.platform, renewal.news, now);
+        self.staged(stage.map(Event::Stage).into_iter().collect());
+        self.tend_news(now);
+    }
+
+    /// Connects to discovery and the platform where that is due.
+    fn tend_news(&mut self, now: Micros) {
+        let news = self.discovery.tend(&self.handle, &mut self.ids, now);
+        self.fleet(news);
+        let events = self.platform.tend(&self.handle, &mut self.ids, now);
+        self.staged(events);
+    }
+
     fn ready(&mut self, who: Who, readiness: Readiness, now: Micros) {
         match who {
             Who::Discovery(id) => {
@@ -233,10 +266,7 @@
 
     fn sweep(&mut self, now: Micros) {
         self.timers.set(now + SWEEP, Due::Sweep);
-        let news = self.discovery.tend(&self.handle, &mut self.ids, now);
-        self.fleet(news);
-        let events = self.platform.tend(&self.handle, &mut self.ids, now);
-        self.staged(events);
+        self.tend_news(now);
         self.machines.tend(now, &mut self.machine_notes);
         self.clients.tend(now, &mut self.client_notes);
         let done = self.driver.held() == 0 && self.clients.all_answered();
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -53,11 +53,12 @@
     let mut event_loop: EventLoop<'static, Ready> =
         EventLoop::try_new().map_err(|e| format!("the event loop can't be made: {e}"))?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
         .map_err(|e| format!("signals can't be watched: {e}"))?;
     let noted = |event: calloop::signals::Event, _: &mut (), ready: &mut Ready| {
         ready.asked.push(match event.signal() {
             Signal::SIGUSR1 => Asked::Counters,
+            Signal::SIGHUP => Asked::Reload,
             _ => Asked::Stop,
         });
     };
--- a/crates/front/src/platform.rs
+++ b/crates/front/src/platform.rs
@@ -124,6 +124,15 @@
         Some(state.stage())
     }
 
+    /// The configuration was read again. What stands there counts only if it is newer; the next connections
+    /// go to the new address, while votes under way end on theirs.
+    pub fn renew(&mut self, address: SocketAddr, state: State, now: Micros) -> Option<Stage> {
+        self.address = address;
+        self.watch.retarget(address);
+        let held = self.known.map(|(known, _)| known.order());
+        if held.is_none_or(|held| state.order() > held) { self.news(state, now) } else { None }
+    }
+
     /// Casts a vote. The answer comes later, or at once if the vote cannot leave.
     pub fn vote(
         &mut self,
--- a/crates/front/src/process.rs
+++ b/crates/front/src/process.rs
@@ -36,6 +36,8 @@
     pub known: List,
     /// The settings of the deployment.
     pub settings: Settings,
+    /// The same, as they were told.
+    told: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -63,6 +65,59 @@
     news: State,
 }
 
+/// What a configuration that is read again may change, and what it would change but can't.
+#[derive(Debug)]
+pub struct Renewal {
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Where the platform answers.
+    pub platform: SocketAddr,
+    /// Where the newest build stood.
+    pub news: State,
+    /// A list of machines.
+    pub known: List,
+    /// Keys whose new values need a restart.
+    pub fixed: Vec<&'static str>,
+}
+
+/// What can't change while the front runs, to be compared with what is read later.
+#[derive(Debug)]
+pub struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    memory_mb: u64,
+    sockets: usize,
+    told: serde_json::Value,
+}
+
+impl Fixed {
+    /// Of the configuration at the start.
+    pub fn of(process: &Process) -> Self {
+        let Process { listen, memory_mb, sockets, .. } = *process;
+        Fixed { name: process.name.clone(), listen, memory_mb, sockets, told: process.told.clone() }
+    }
+
+    /// Reads the file again. Addresses in it stand above the environment, which is that of the start.
+    pub fn read_again(&self, variable: impl Fn(&str) -> Option<String>) -> Result<Renewal, String> {
+        let at_start = |name: &str| variable(name).filter(|_| name != "RELAY_DISCOVERY");
+        let new = Process::read(at_start)?;
+        let differs = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits.memory_mb", self.memory_mb != new.memory_mb),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("settings", self.told != new.told),
+        ];
+        Ok(Renewal {
+            discovery: new.discovery,
+            platform: new.platform,
+            news: new.news,
+            known: new.known,
+            fixed: differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect(),
+        })
+    }
+}
+
 impl Process {
     /// Reads the file named in `RELAY_CONFIG`. `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` stand above
     /// what the file says. The message of an error names the variable or the key.
@@ -101,6 +156,7 @@
             news: file.pipeline.news,
             known: file.known,
             settings: Settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?,
+            told: file.settings,
         })
     }
 }
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -27,6 +27,8 @@
 pub enum Asked {
     /// Finish what is held and exit.
     Stop,
+    /// Read the configuration again.
+    Reload,
     /// Print the counters.
     Counters,
 }
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -13,8 +13,11 @@
 
 /// First wait before a lost connection is made anew, doubled each time ...
 const AGAIN_FIRST: Micros = 100 * MS;
-/// ... up to this: the other side may be overloaded, and what it tells is wanted within seconds.
-const AGAIN_MOST: Micros = 2_000 * MS;
+/// ... up to this: the other side may be overloaded, and what it tells is wanted within four seconds, over
+/// a few connections that are spoilt one after another.
+const AGAIN_MOST: Micros = 800 * MS;
+/// A connection that has not come up within this never will: it is made anew.
+const CONNECT_MOST: Micros = 1_000 * MS;
 /// Room for what has come and is not yet taken apart.
 const RING_MOST: usize = 64 * 1024;
 /// Longest line: a list of some ten thousand machines.
@@ -59,6 +62,14 @@
         (self.open, self.again_at) = (None, 0);
     }
 
+    /// The source is at another address from now on: the old connection is let go.
+    pub fn retarget(&mut self, to: SocketAddr) {
+        if self.to != to {
+            (self.to, self.wait) = (to, AGAIN_FIRST);
+            self.close();
+        }
+    }
+
     /// Gives the connection up, for a reason that on-call should know.
     pub fn lose(&mut self, now: Micros, reason: &str) {
         if self.open.take().is_some() {
@@ -81,12 +92,14 @@
         now: Micros,
         target: impl FnOnce() -> String,
     ) -> bool {
-        if self.open.is_some() {
-            let silent = now >= self.heard + self.silence;
-            if silent {
-                self.lose(now, "no sign of life");
-            }
-            return silent;
+        if let Some(open) = &self.open {
+            let reason = match open.up {
+                false if now >= self.heard + CONNECT_MOST => "cannot connect: it never came up",
+                _ if now >= self.heard + self.silence => "no sign of life",
+                _ => return false,
+            };
+            self.lose(now, reason);
+            return true;
         }
         if now < self.again_at {
             return false;
@@ -117,7 +130,8 @@
     pub fn ready(&mut self, id: ConnId, readiness: Readiness, now: Micros) -> Heard {
         let Some(open) = self.open.as_mut().filter(|o| o.id == id) else { return Heard::default() };
         open.conn.note(readiness);
-        let (lines, trouble) = open.take();
+        let mut lines = Vec::new();
+        let trouble = open.take(&mut lines);
         if !lines.is_empty() {
             self.heard = now;
             self.wait = AGAIN_FIRST;
@@ -134,35 +148,34 @@
 }
 
 impl Open {
-    /// All lines that have come, and what ended the connection.
-    fn take(&mut self) -> (Vec<Vec<u8>>, Option<String>) {
-        let mut all = Vec::new();
+    /// Adds all lines that have come; what ended the connection, if anything did.
+    fn take(&mut self, lines: &mut Vec<Vec<u8>>) -> Option<String> {
         if !self.up {
             match self.conn.connected() {
                 Ok(true) => self.up = true,
-                Ok(false) => return (all, None),
-                Err(e) => return (all, Some(format!("cannot connect: {e}"))),
+                Ok(false) => return None,
+                Err(e) => return Some(format!("cannot connect: {e}")),
             }
         }
         if let Err(e) = self.conn.flush() {
-            return (all, Some(format!("connection lost: {e}")));
+            return Some(format!("connection lost: {e}"));
         }
         loop {
             let ended = self.conn.fill();
-            match self.reader.read(&mut self.conn.input, ended) {
-                Ok((lines, over)) => {
-                    all.extend(lines);
+            match self.reader.read(&mut self.conn.input, ended, lines) {
+                Ok(over) => {
                     if let Some(status) = self.reader.status().filter(|s| *s != 200) {
-                        return (all, Some(format!("answered with status {status}")));
+                        lines.clear(); // what comes with a refusal is no news
+                        return Some(format!("answered with status {status}"));
                     }
                     if over || ended {
-                        return (all, Some("connection ended".to_owned()));
+                        return Some("connection ended".to_owned());
                     }
                 }
-                Err(e) => return (all, Some(format!("connection lost: {e}"))),
+                Err(e) => return Some(format!("what came can't be read: {e}")),
             }
             if !self.conn.more_to_read() {
-                return (all, None);
+                return None;
             }
         }
     }
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -477,3 +477,56 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stderr).contains("listen: "));
 }
+
+#[test]
+fn a_new_configuration_moves_discovery_and_platform_under_load_and_undoes_nothing() {
+    let (first, second) = (Machine::start(ok("first")), Machine::start(ok("second")));
+    let (discovery, platform, mut plan) = around(&[first.address]);
+    // What the environment said at the start does not outlive the file.
+    let front = Running::start_with(&plan, &[("RELAY_DISCOVERY", &discovery.address.to_string())]);
+    let mut client = front.client();
+    assert_eq!(client.look().body, b"first");
+    for round in 2..5 {
+        let machine = if round % 2 == 0 { &second } else { &first };
+        let now = list(round, true, &[member("s-0", machine.address, 4, "Ready")]);
+        let (to, platform_to) = (Source::start(&now), Source::start(&progress(&plan.news)));
+        // The file itself holds the list and the state of the start, which are old by now.
+        (plan.discovery, plan.platform) = (to.address, platform_to.address);
+        front.reload(&plan.config(front.address));
+        let expected: &[u8] = if round % 2 == 0 { b"second" } else { b"first" };
+        until("answers by the list of the new address", || client.look().body == expected);
+        until("news from the new platform", || !platform_to.asked().is_empty());
+        let asked = to.asked();
+        assert!(asked[0].ends_with(&format!("index={}", round - 1)), "{asked:?}");
+    }
+    let older = [member("s-0", free_address(), 4, "Ready")];
+    plan.known = list(1, true, &older);
+    front.reload(&plan.config(front.address));
+    until("the fourth reload", || front.log().matches("reload: discovery at").count() == 4);
+    for _ in 0..20 {
+        assert_eq!((client.look().status(), client.look().body), (200, b"second".to_vec()));
+    }
+    assert_eq!((discovery.asked().len(), platform.asked().len()), (1, 1), "the old addresses are let go");
+}
+
+#[test]
+fn a_faulty_or_missing_configuration_changes_nothing_and_is_named() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let good = plan.config(front.address);
+    front.reload(&good.replace("\"listen\"", "\"gone\""));
+    until("the missing key is named", || {
+        front.log().contains("reload: ") && front.log().contains("listen is missing")
+    });
+    front.reload("{\"name\"");
+    until("half a file is refused", || front.log().matches("all stays as it was").count() == 2);
+    front.forget_config();
+    until("a missing file is refused", || front.log().matches("all stays as it was").count() == 3);
+    plan.sockets = 512;
+    front.reload(&plan.config(front.address));
+    until("what needs a restart is named", || {
+        front.log().contains("limits.sockets: a new value counts from the next start on")
+    });
+    assert_eq!(front.client().look().status(), 200);
+}
--- a/crates/front/tests/stand_ins/mod.rs
+++ b/crates/front/tests/stand_ins/mod.rs
@@ -394,11 +394,17 @@
 impl Running {
     /// Starts it, and waits until it says that it serves.
     pub fn start(plan: &Plan) -> Running {
+        Running::start_with(plan, &[])
+    }
+
+    /// The same, with more in its environment.
+    pub fn start_with(plan: &Plan, more: &[(&str, &str)]) -> Running {
         let address = plan.listen.unwrap_or_else(free_address);
         let config = config_file(&plan.config(address));
         let mut child = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
             .env_clear()
             .env("RELAY_CONFIG", &config)
+            .envs(more.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -432,6 +438,19 @@
         lock(&self.log).clone()
     }
 
+    /// Replaces its configuration file and tells it so.
+    pub fn reload(&self, text: &str) {
+        let new = config_file(text);
+        std::fs::rename(new, &self.config).expect("the file is replaced");
+        self.signal("HUP");
+    }
+
+    /// Takes its configuration file away and tells it so.
+    pub fn forget_config(&self) {
+        std::fs::remove_file(&self.config).expect("the file is there");
+        self.signal("HUP");
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -458,14 +458,16 @@
         self.reader.begun().map(|r| r.status)
     }
 
-    /// The lines that have come whole, without their ends; true beside them once the answer has ended.
-    pub fn read(&mut self, ring: &mut Ring, ended: bool) -> Result<(Vec<Vec<u8>>, bool), Bad> {
-        let mut lines = Vec::new();
+    /// Adds the lines that have come whole to `lines`, without their ends; true once the answer has ended.
+    /// Lines that were whole before the answer became unreadable are among them.
+    pub fn read(&mut self, ring: &mut Ring, ended: bool, lines: &mut Vec<Vec<u8>>) -> Result<bool, Bad> {
         loop {
             let before = ring.len();
-            let (body, over) = match self.reader.read(ring, ended)? {
-                Parsing::Done(response) => (response.body, true),
-                Parsing::More => (self.reader.take_body(), false),
+            let read = self.reader.read(ring, ended);
+            let (body, over) = match read {
+                Ok(Parsing::Done(response)) => (response.body, Ok(true)),
+                Ok(Parsing::More) => (self.reader.take_body(), Ok(false)),
+                Err(bad) => (self.reader.take_body(), Err(bad)),
             };
             for part in body.split_inclusive(|b| *b == b'\n') {
                 if self.line.len() + part.len() > self.most_line {
@@ -477,8 +479,10 @@
                     lines.push(std::mem::take(&mut self.line));
                 }
             }
-            if over || ring.len() == before {
-                return Ok((lines, over));
+            if over? {
+                return Ok(true);
+            } else if ring.len() == before {
+                return Ok(false);
             }
         }
     }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -127,9 +127,7 @@
         let (mut ring, mut reader, mut all) = (Ring::new(4096), StreamReader::new(10), Vec::new());
         for piece in [&text[..at], &text[at..]] {
             ring.push(piece).expect("room");
-            let (lines, over) = reader.read(&mut ring, false).expect("lines");
-            assert!(!over);
-            all.extend(lines);
+            assert_eq!(reader.read(&mut ring, false, &mut all), Ok(false));
         }
         assert_eq!(all, [&b"one"[..], b"two", b""], "split at {at}");
     }
@@ -139,7 +137,20 @@
 fn a_line_beyond_the_bound_is_refused() {
     let mut ring = Ring::new(4096);
     ring.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nelevenbytes\r\n").expect("room");
-    assert_eq!(StreamReader::new(10).read(&mut ring, false), Err(Bad::BodyTooLarge));
+    assert_eq!(StreamReader::new(10).read(&mut ring, false, &mut Vec::new()), Err(Bad::BodyTooLarge));
+}
+
+#[test]
+fn lines_that_were_whole_before_the_noise_stand() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for noise in ["zz\r\n", "4\r\nlong", "ffffffffffffffffff\r\n"] {
+        let text = format!("{head}8\r\none\ntwo\n\r\n{noise}er than it says");
+        let (mut ring, mut lines) = (Ring::new(4096), Vec::new());
+        ring.push(text.as_bytes()).expect("room");
+        let read = StreamReader::new(10).read(&mut ring, false, &mut lines);
+        assert!(matches!(read, Err(Bad::Malformed(_))), "{noise:?}: {read:?}");
+        assert_eq!(lines, [&b"one"[..], b"two"], "{noise:?}");
+    }
 }
 
 #[test]
