Silent and idle clients make way, open ids are told apart, reading has a limit

Ruled out: the fronts' processor (0.04 s in the worst second), memory (1 MB). Now: first request within 2.5 s of connecting, later ones within 2.5 s of their first byte, dripping or not; idle connections end after 5 s, after 2 s where room is needed, silent ones after 0.15 s there; a Request-Id that is open gets 409; bodies past the bound are read for 256 KB at the most; the wait a client names is bounded by its class; what is due for a request or exchange ends with it; numbers, endpoints and exposure windows of what is gone are given back; a 200 must say how long it is; 16 interim answers at the most; bad requests are counted by kind and told of once a second.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -10,7 +10,7 @@
 use garnetcrank_http::{Bad, Parsing, Request, RequestReader, write_response};
 use socket2::{Domain, Socket, Type};
 
-use crate::clock::SECOND;
+use crate::clock::{MS, SECOND};
 use crate::conn::Conn;
 use crate::machines::BODY_MOST;
 use crate::ready::{ConnId, ConnIds, Handle, Ready, Who};
@@ -23,13 +23,22 @@
 const OUT_MOST: usize = 2 * BODY_MOST + 64 * 1024;
 /// Above this, no more of a stream is read until its client has taken what waits.
 const STREAM_AHEAD: usize = BODY_MOST;
-/// A request or an answer that gets no further for so long is given up; networks stall for less.
+/// A request must be whole so long after its first byte, the first one of a connection so long after that
+/// was made: whoever drips or says nothing is turned away within 3 s.
+const READ: Micros = 2_500 * MS;
+/// An answer that its client takes no byte of for so long is given up; networks stall for less.
 const STALLED: Micros = 10 * SECOND;
-/// A connection without a request for so long is closed; clients come back far sooner.
-const IDLE: Micros = 300 * SECOND;
-/// After the last answer on a connection, what the client still sends is read for so long, lest a reset
-/// overtakes the answer.
-const LINGER: Micros = SECOND;
+/// A connection without a request for so long is closed: what is kept for those who never return is bounded,
+/// and those who do make a new one for little.
+const IDLE: Micros = 5 * SECOND;
+/// Where room is needed, one without a request for so long makes way ...
+const MAKES_WAY: Micros = 2 * SECOND;
+/// ... and one that was made so long ago and never said a word: whoever has something to say says it at once.
+const SILENT: Micros = 150 * MS;
+/// After the last answer on a connection, what the client still sends is read for so long and up to so many
+/// bytes, lest a reset overtakes the answer.
+const LINGER: Micros = 300 * MS;
+const LINGER_MOST: usize = 256 * 1024;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -47,20 +56,36 @@
     conn: Conn,
     reader: RequestReader,
     state: State,
-    /// When its state last changed, or bytes last moved.
+    /// When its state last changed, bytes of an answer last moved, or the first byte of a request came.
     moved: Micros,
+    /// No whole request has come yet.
+    new: bool,
+    lingered: usize,
     keep_alive: bool,
     streaming: bool,
     finished: bool, // sending has ended
 }
 
+/// Kinds of bad requests, as they are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BadRequest {
+    /// It can't be read.
+    Unreadable(Bad),
+    /// It did not come whole in time.
+    Late,
+    /// It can be read, and means nothing here.
+    Meaningless(&'static str),
+    /// It bears the name of another open one.
+    NameTaken,
+}
+
 /// What clients did.
 #[derive(Debug)]
 pub enum Note {
     /// A whole request.
     Request(ConnId, Request),
     /// What came can't be read; it has been answered.
-    Bad(Bad),
+    Bad(BadRequest),
     /// A client left while its request was held.
     Left(RequestId),
     /// A client has taken what waited for it.
@@ -78,6 +103,8 @@
     pub crowded: bool,
     /// Connections may wait to be accepted.
     pub waiting: bool,
+    /// Connections closed since nothing came on them.
+    pub idle_closed: u64,
 }
 
 impl Clients {
@@ -102,6 +129,7 @@
             closing: false,
             crowded: false,
             waiting: true,
+            idle_closed: 0,
         })
     }
 
@@ -128,6 +156,8 @@
                             reader: RequestReader::new(BODY_MOST),
                             state: State::Reading,
                             moved: now,
+                            new: true,
+                            lingered: 0,
                             keep_alive: true,
                             streaming: false,
                             finished: false,
@@ -169,18 +199,18 @@
             client.moved = now;
         }
         let gone = loop {
+            if let (State::Closing, Ok(whole)) = (client.state, &flushed) {
+                if *whole && !std::mem::replace(&mut client.finished, *whole) {
+                    client.conn.end_sending();
+                }
+                let (dropped, ended) = client.conn.discard(LINGER_MOST);
+                client.lingered += dropped;
+                break *whole && (ended || client.lingered >= LINGER_MOST);
+            }
             let ended = client.conn.fill();
             match (client.state, &flushed) {
                 (_, Err(_)) => break true,
-                (State::Closing, Ok(whole)) => {
-                    if *whole && !std::mem::replace(&mut client.finished, *whole) {
-                        client.conn.end_sending();
-                    }
-                    client.conn.input.consume(usize::MAX);
-                    if ended && *whole {
-                        break true;
-                    }
-                }
+                (State::Closing, _) => break false,
                 (State::Held(_) | State::Told, _) if ended => break true,
                 (State::Held(held), Ok(true)) if before > 0 && client.streaming => {
                     notes.push(Note::Drained(held));
@@ -190,7 +220,7 @@
                 (State::Held(_) | State::Told, _) => break false,
                 (State::Reading, _) => match client.reader.read(&mut client.conn.input) {
                     Ok(Parsing::Done(request)) => {
-                        (client.state, client.moved) = (State::Told, now);
+                        (client.state, client.moved, client.new) = (State::Told, now, false);
                         client.keep_alive = request.keep_alive;
                         notes.push(Note::Request(id, request));
                         break false;
@@ -200,7 +230,7 @@
                         if !midway {
                             break true;
                         }
-                        notes.push(Note::Bad(Bad::Truncated));
+                        notes.push(Note::Bad(BadRequest::Unreadable(Bad::Truncated)));
                         return self.bad(id, Bad::Truncated, now, notes);
                     }
                     Ok(Parsing::More) => {
@@ -211,7 +241,7 @@
                         }
                     }
                     Err(bad) => {
-                        notes.push(Note::Bad(bad));
+                        notes.push(Note::Bad(BadRequest::Unreadable(bad)));
                         return self.bad(id, bad, now, notes);
                     }
                 },
@@ -222,7 +252,7 @@
         };
         if gone {
             self.leave(id, notes);
-        } else if was_idle && !client.idle() {
+        } else if was_idle && !client.idle() && !client.new {
             client.moved = now; // the first bytes of a request
         }
     }
@@ -329,6 +359,16 @@
         self.clients.retain(|_, c| !(c.idle() && c.conn.quiet()));
     }
 
+    /// Closes one connection to make room: of a client that has said nothing, or nothing more for longest. False
+    /// if there is none.
+    pub fn make_way(&mut self, now: Micros) -> bool {
+        let rests = |c: &Client| c.idle() && now >= c.moved + if c.new { SILENT } else { MAKES_WAY };
+        let resting = self.clients.iter().filter(|(_, c)| rests(c) && c.conn.quiet());
+        // The silent ones first, then the one that has rested for longest.
+        let first = resting.min_by_key(|(id, c)| (!c.new, c.moved, **id)).map(|(id, _)| *id);
+        first.is_some_and(|id| self.clients.remove(&id).is_some())
+    }
+
     /// Gives up what has stalled, and looks whether a client whose request is held has left: its leaving may
     /// have come together with the request, and then nothing more tells of it.
     pub fn tend(&mut self, now: Micros, notes: &mut Vec<Note>) {
@@ -339,20 +379,24 @@
             }
             let since = now.saturating_sub(client.moved);
             let limit = match client.state {
-                State::Reading if client.idle() => IDLE,
+                State::Reading if client.idle() && !client.new => IDLE,
+                State::Reading if client.conn.output.is_empty() => READ,
                 State::Closing if client.finished => LINGER,
                 State::Held(_) | State::Told if client.conn.output.is_empty() => continue,
                 _ => STALLED,
             };
             if since >= limit {
-                stalled.push((*id, client.state == State::Reading && !client.idle()));
+                stalled.push((*id, client.state == State::Reading && !client.idle(), client.idle()));
             }
         }
         unread.into_iter().for_each(|id| self.go_on(id, now, notes));
-        for (id, midway) in stalled {
+        for (id, midway, idle) in stalled {
             if midway {
+                notes.push(Note::Bad(BadRequest::Late));
                 self.answer_bad(id, 408, "the request did not come whole in time", now, notes);
-            } else {
+            } else if !idle || self.clients.get(&id).is_some_and(|c| c.conn.quiet()) {
+                // What has come just now is read first.
+                self.idle_closed += u64::from(idle);
                 self.leave(id, notes);
             }
         }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -62,10 +62,9 @@
         Some(first.remove())
     }
 
-    /// How long until one is due.
-    pub fn wait(&self, now: Micros) -> Option<Duration> {
-        let ((at, _), _) = self.queue.first_key_value()?;
-        Some(Duration::from_micros(at.saturating_sub(now)))
+    /// When the first one is due.
+    pub fn due_at(&self) -> Option<Micros> {
+        self.queue.first_key_value().map(|((at, _), _)| *at)
     }
 }
 
@@ -80,12 +79,12 @@
             timers.set(at, what);
         }
         assert_eq!(timers.due(9), None);
-        assert_eq!(timers.wait(4), Some(Duration::from_micros(6)));
+        assert_eq!(timers.due_at(), Some(10));
         let mut order = String::new();
         while let Some(what) = timers.due(30) {
             order.push(what);
         }
         assert_eq!(order, "abcd");
-        assert_eq!(timers.wait(30), None);
+        assert_eq!(timers.due_at(), None);
     }
 }
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -1,6 +1,6 @@
 //! A TCP connection registered with the event loop, with one ring buffer a direction.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -100,6 +100,23 @@
         self.ended
     }
 
+    /// Reads and drops up to `most` bytes, past the ring; how many came. True beside it once nothing more will.
+    pub fn discard(&mut self, most: usize) -> (usize, bool) {
+        let mut block = [0; 16 * 1024];
+        let mut dropped = self.input.len();
+        self.input.consume(usize::MAX);
+        while self.readable && !self.ended && dropped < most {
+            match (&*self.stream).read(&mut block) {
+                Ok(0) => self.ended = true,
+                Ok(read) => dropped += read,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => self.ended = true,
+            }
+        }
+        (dropped, self.ended)
+    }
+
     /// Whether there may be more to read, and the ring has room for it.
     pub fn more_to_read(&self) -> bool {
         self.readable && !self.ended && self.input.room() > 0
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -33,8 +33,22 @@
     overdue,
     /// Requests refused by the front: too many held, or no memory for them.
     over_limit,
-    /// Requests that could not be understood.
+    /// Bad requests, which got a 4xx or 5xx and a closed connection.
     bad_requests,
+    /// ... that ended in their midst.
+    bad_truncated,
+    /// ... beyond the bounds of a head or a body.
+    bad_large,
+    /// ... that did not come whole in time.
+    bad_late,
+    /// ... that can be read and mean nothing here.
+    bad_meaning,
+    /// ... with the Request-Id of another open one.
+    bad_name_taken,
+    /// Client connections closed since nothing came on them.
+    idle_clients_closed,
+    /// ... earlier than that, to make room for others.
+    clients_made_way,
     /// Clients that left before their answer.
     left,
     /// Client connections accepted.
--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -78,6 +78,8 @@
 #[derive(Debug)]
 struct Roster {
     numbers: BTreeMap<String, MachineId>,
+    /// Numbers given so far: one that returns after it was gone is another machine and gets a new one.
+    given: u32,
     starts: BTreeMap<MachineId, (Build, Option<Micros>)>,
     zones: Vec<String>,
     kinds: Vec<String>,
@@ -97,18 +99,23 @@
         let missing = self.starts.keys().filter(|m| !seen.contains(*m));
         places.extend(missing.map(|m| Place { machine: *m, address: None, renewed: true }));
         self.starts.retain(|m, _| seen.contains(m));
+        self.numbers.retain(|_, m| seen.contains(m));
         (Fleet::Whole { entries, saved }, places)
     }
 
     fn entry(&mut self, member: &Member, places: &mut Vec<Place>, seen: &mut BTreeSet<MachineId>) -> Entry {
-        let next = MachineId(self.numbers.len() as u32);
-        let machine = *self.numbers.entry(member.id.clone()).or_insert(next);
+        let given = &mut self.given;
+        let machine = *self.numbers.entry(member.id.clone()).or_insert_with(|| {
+            *given += 1;
+            MachineId(*given - 1)
+        });
         let started = (member.up_since_ms > 0.0).then_some((member.up_since_ms * MS as f64) as Micros);
         let start = (Build(member.build), started);
         let gone = member.phase == Standing::Gone;
         let before = self.starts.get(&machine).copied();
         if gone {
             self.starts.remove(&machine);
+            self.numbers.remove(&member.id);
         } else {
             self.starts.insert(machine, start);
             seen.insert(machine);
@@ -172,6 +179,7 @@
             address,
             roster: Roster {
                 numbers: BTreeMap::new(),
+                given: 0,
                 starts: BTreeMap::new(),
                 zones: settings.zones.clone(),
                 kinds: settings.kinds.clone(),
@@ -357,6 +365,25 @@
         assert!(news.places.contains(&Place { machine: MachineId(0), address: None, renewed: true }));
     }
 
+    #[test]
+    fn nothing_is_kept_of_machines_that_are_gone_and_one_that_returns_is_another() {
+        let mut d = discovery();
+        take(&mut d, &list(1, true, &[member("s-0", 9000, 41, "Ready")]));
+        let mut numbers = Vec::new();
+        for round in 1..500u64 {
+            let (id, port) = (format!("s-{}", round % 7 + 1), 9001);
+            let news =
+                take(&mut d, &list(2 * round, false, &[member(&id, port, 41 + round as u32, "Ready")]));
+            numbers.push(news.places[0].machine);
+            take(&mut d, &list(2 * round + 1, false, &[member(&id, port, 41, "Gone")]));
+        }
+        numbers.dedup();
+        assert_eq!(numbers.len(), 499, "a number was given twice");
+        assert_eq!((d.roster.numbers.len(), d.roster.starts.len()), (1, 1));
+        take(&mut d, &list(2000, true, &[]));
+        assert!(d.roster.numbers.is_empty() && d.roster.starts.is_empty());
+    }
+
     #[test]
     fn an_older_change_undoes_nothing_and_a_whole_list_always_counts() {
         let mut d = discovery();
--- a/crates/front/src/driver.rs
+++ b/crates/front/src/driver.rs
@@ -1,16 +1,21 @@
 //! Around the decisions: events in, one at a time and never from within; actions out as commands to
 //! the sockets. No socket here, and no wire.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 use garnetcrank::Brain;
 use garnetcrank::interface::*;
 use garnetcrank_http::{Headers, Request as Message, Response};
 use garnetcrank_settings::Settings;
 
+use crate::clock::MS;
 use crate::ready::ConnId;
 use crate::request::Meaning;
 
+/// A request that nothing has ended is failed so long after its time: the decisions' own answer comes first,
+/// and the deployment's slack is not used up.
+const OVERDUE: Micros = 5 * MS;
+
 /// What the sockets are to do.
 #[derive(Debug)]
 pub enum Command {
@@ -113,6 +118,10 @@
     brain: Brain,
     config: Config,
     held: HashMap<RequestId, Held>,
+    /// Names that clients gave to the requests whose answer is owed.
+    names: HashSet<Vec<u8>>,
+    /// When they are failed, should nothing end them.
+    overdue: BTreeSet<(Micros, RequestId)>,
     owed: usize,
     owed_bytes: usize,
     next: u32,
@@ -128,6 +137,8 @@
             brain: Brain::new(seed, settings.config.clone()),
             config: settings.config.clone(),
             held: HashMap::new(),
+            names: HashSet::new(),
+            overdue: BTreeSet::new(),
             owed: 0,
             owed_bytes: 0,
             next: 0,
@@ -142,6 +153,16 @@
         self.owed
     }
 
+    /// Whether a request of the same name is open: another client's, or a resent one that is still held.
+    pub fn is_open(&self, message: &Message) -> bool {
+        self.names.contains(name_of(message))
+    }
+
+    /// When the first of them must be failed.
+    pub fn due(&self) -> Option<Micros> {
+        self.overdue.first().map(|(at, _)| *at)
+    }
+
     /// Their bodies, in bytes.
     pub fn held_bytes(&self) -> usize {
         self.owed_bytes
@@ -163,13 +184,7 @@
     }
 
     /// Takes a request over; its number and deadline.
-    pub fn request(
-        &mut self,
-        client: ConnId,
-        message: Message,
-        meaning: Meaning,
-        now: Micros,
-    ) -> (RequestId, Micros) {
+    pub fn request(&mut self, client: ConnId, message: Message, meaning: Meaning, now: Micros) -> RequestId {
         while self.held.contains_key(&RequestId(self.next)) {
             self.next = self.next.wrapping_add(1);
         }
@@ -179,6 +194,8 @@
         let deadline = now + wait;
         self.owed += 1;
         self.owed_bytes += message.body.len();
+        self.names.insert(name_of(&message).to_vec());
+        self.overdue.insert((deadline + OVERDUE, id));
         let held = Held { client, message, class, deadline, attempts: 0, owed: true, begun: None };
         self.held.insert(id, held);
         self.events.push_back(Event::Request(Request {
@@ -190,7 +207,7 @@
             hint,
             repeat,
         }));
-        (id, deadline)
+        id
     }
 
     /// The final answer has been given, or is owed no more: whose it was.
@@ -199,6 +216,8 @@
         held.owed = false;
         self.owed -= 1;
         self.owed_bytes -= held.message.body.len();
+        self.names.remove(name_of(&held.message));
+        self.overdue.remove(&(held.deadline + OVERDUE, id));
         Some(held.client)
     }
 
@@ -215,11 +234,14 @@
         self.held.get(&id)?.begun
     }
 
-    /// The request's time is over. Should nothing have ended it, it is failed.
-    pub fn overdue(&mut self, id: RequestId, commands: &mut Vec<Command>) {
-        if let Some(client) = self.get(id).filter(|h| h.begun.is_none()).map(|h| h.client) {
-            self.left(id);
-            commands.push(Command::Overdue { client });
+    /// Fails the requests whose time is over and that nothing has ended. A stream that has begun goes on.
+    pub fn overdue(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        while self.due().is_some_and(|at| at <= now) {
+            let Some((_, id)) = self.overdue.pop_first() else { return };
+            if let Some(client) = self.get(id).filter(|h| h.begun.is_none()).map(|h| h.client) {
+                self.left(id);
+                commands.push(Command::Overdue { client });
+            }
         }
     }
 
@@ -321,6 +343,11 @@
     }
 }
 
+/// What its client called a request.
+fn name_of(message: &Message) -> &[u8] {
+    message.headers.all("request-id").next().unwrap_or_default().trim_ascii()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -358,7 +385,8 @@
         ring.push(text.as_bytes()).expect("room");
         let Ok(Parsing::Done(message)) = RequestReader::new(10).read(&mut ring) else { panic!("no request") };
         let meaning = meaning(&settings(), &message).expect("a request");
-        driver.request(ConnId(1), message, meaning, NOW).0
+        assert!(!driver.is_open(&message), "an earlier request is still open");
+        driver.request(ConnId(1), message, meaning, NOW)
     }
 
     fn done(id: RequestId, attempt: usize, outcome: Outcome) -> Done {
@@ -376,6 +404,7 @@
             let only_withdrawn = commands.iter().all(|c| matches!(c, Command::Withdraw { .. }));
             assert!(only_withdrawn, "something is sent or answered for it: {commands:?}");
             assert!(driver.held.is_empty() && driver.held() == 0 && driver.held_bytes() == 0);
+            assert!(driver.names.is_empty() && driver.overdue.is_empty(), "something is kept for it");
         }
         // The module's count of open attempts is right: it sends the next one at once.
         arrive(&mut driver, "/look");
@@ -395,7 +424,7 @@
         driver.ended(done(id, 0, Outcome::Served), Some(answer), &mut commands);
         assert!(matches!(commands[..], [Command::Pass { client: ConnId(1), .. }]));
         commands.clear();
-        driver.overdue(id, &mut commands);
+        driver.overdue(NOW + 3_600_000 * MS, &mut commands);
         assert!(commands.is_empty() && drain(&mut driver).is_empty() && driver.held.is_empty());
     }
 
@@ -405,7 +434,9 @@
         let id = arrive(&mut driver, "/pay");
         drain(&mut driver);
         let mut commands = Vec::new();
-        driver.overdue(id, &mut commands);
+        driver.overdue(NOW + 900 * MS, &mut commands);
+        assert!(commands.is_empty(), "before its time");
+        driver.overdue(NOW + 900 * MS + OVERDUE, &mut commands);
         assert!(matches!(commands[..], [Command::Overdue { client: ConnId(1) }]));
         assert!(matches!(drain(&mut driver)[..], [Command::Withdraw { attempt: 0, .. }]));
         driver.ended(done(id, 0, Outcome::Withdrawn), None, &mut commands);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -84,6 +84,8 @@
             let ended = conn.fill();
             let lost = if self.sent() { Step::Broken } else { Step::NeverSent };
             match self.reader.read(&mut conn.input, ended) {
+                // No machine answers with 200 what it has not read: those are bytes of something else.
+                Ok(Parsing::Done(response)) if !self.sent() && response.status == 200 => return lost,
                 Ok(Parsing::Done(response)) => {
                     let clean = self.sent() && !ended && conn.input.is_empty();
                     return Step::Answer { reusable: clean && response.keep_alive, response };
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,12 +4,12 @@
 
 use calloop::Readiness;
 use garnetcrank::interface::*;
-use garnetcrank_http::Headers;
+use garnetcrank_http::{Bad, Headers};
 use rustix::process::{Resource, getrlimit};
 use tracing::{info, warn};
 
-use crate::clients::{self, Clients};
-use crate::clock::{Clock, MS, Timers};
+use crate::clients::{self, BadRequest, Clients};
+use crate::clock::{Clock, MS, SECOND, Timers};
 use crate::counters::{Counters, resources};
 use crate::discovery::{Discovery, FleetNews};
 use crate::driver::{Command, Driver};
@@ -28,20 +28,17 @@
 const CROWD: usize = 32;
 /// Part of the memory that bodies of held requests may take.
 const BODY_PART: u64 = 8;
-/// A request that nothing has ended is failed so long after its time: the decisions' own answer comes first,
-/// and the deployment's slack is not used up.
-const OVERDUE: Micros = 5 * MS;
 /// How often connections are looked after: watches that went silent, idle ones, phases.
 const SWEEP: Micros = 20 * MS;
 /// Clients accepted in a turn at the most, so that those already there are not kept waiting.
-const ACCEPTS: usize = 256;
+const ACCEPTS: usize = 64;
+/// How often bad requests are told of, however many come.
+const TOLD: Micros = SECOND;
 
 /// What timers are for.
 #[derive(Debug, Clone, Copy)]
 enum Due {
     Decisions(u64),
-    Patience(ConnId),
-    Overdue(RequestId),
     Sweep,
 }
 
@@ -67,6 +64,8 @@
     commands: Vec<Command>,
     client_notes: Vec<clients::Note>,
     machine_notes: Vec<machines::Note>,
+    /// When bad requests were last told of.
+    bad_told: Micros,
 }
 
 impl Front {
@@ -105,6 +104,7 @@
             commands: Vec::new(),
             client_notes: Vec::new(),
             machine_notes: Vec::new(),
+            bad_told: 0,
         };
         info!(
             "{} starts on {}: {} descriptors, {} clients and {} requests at the most",
@@ -120,7 +120,10 @@
 
     /// How long the loop may sleep.
     pub fn wait(&self) -> Option<std::time::Duration> {
-        self.timers.wait(self.clock.now())
+        let now = self.clock.now();
+        let until = |at: Micros| std::time::Duration::from_micros(at.saturating_sub(now));
+        let due = [self.timers.due_at(), self.machines.due(), self.driver.due()];
+        due.into_iter().flatten().min().map(until)
     }
 
     /// Whether the process may exit.
@@ -148,8 +151,13 @@
             self.ready(who, readiness, now);
         }
         self.accept(now);
+        self.machines.late(now, &mut self.machine_notes);
+        self.driver.overdue(now, &mut self.commands);
         while let Some(due) = self.timers.due(now) {
-            self.due(due, now);
+            match due {
+                Due::Decisions(token) => self.driver.event(Event::Timer(token)),
+                Due::Sweep => self.sweep(now),
+            }
         }
         self.settle();
         let took = self.clock.now() - now;
@@ -227,9 +235,13 @@
             if !self.clients.waiting {
                 return;
             }
-            let full = self.clients.len() >= self.most_clients;
-            if full || !self.room() && !self.make_room() {
-                // Those who wait get in as soon as answers close connections.
+            let room = if self.clients.len() >= self.most_clients {
+                self.client_makes_way(now)
+            } else {
+                self.room() || self.make_room() || self.client_makes_way(now)
+            };
+            if !room {
+                // Those who wait get in as soon as answers close connections, or others have rested long enough.
                 self.clients.crowded = true;
                 self.counters.accepts_paused += 1;
                 return;
@@ -244,6 +256,12 @@
         self.clients.len() + self.machines.len() < self.descriptors
     }
 
+    fn client_makes_way(&mut self, now: Micros) -> bool {
+        let made = self.clients.make_way(now);
+        self.counters.clients_made_way += u64::from(made);
+        made
+    }
+
     fn make_room(&mut self) -> bool {
         let made = self.machines.evict_idle();
         self.counters.idle_evicted += u64::from(made);
@@ -255,19 +273,10 @@
         self.machines.has_idle(machine) || self.room() || self.make_room()
     }
 
-    fn due(&mut self, due: Due, now: Micros) {
-        match due {
-            Due::Decisions(token) => self.driver.event(Event::Timer(token)),
-            Due::Patience(conn) => self.machines.late(conn, now, &mut self.machine_notes),
-            Due::Overdue(id) => self.driver.overdue(id, &mut self.commands),
-            Due::Sweep => self.sweep(now),
-        }
-    }
-
     fn sweep(&mut self, now: Micros) {
         self.timers.set(now + SWEEP, Due::Sweep);
         self.tend_news(now);
-        self.machines.tend(now, &mut self.machine_notes);
+        self.machines.tend(now);
         self.clients.tend(now, &mut self.client_notes);
         let done = self.driver.held() == 0 && self.clients.all_answered();
         if self.life.tend(now, self.discovery.heard, done) == Change::StopListening {
@@ -348,10 +357,7 @@
     fn client_note(&mut self, note: clients::Note, now: Micros) {
         match note {
             clients::Note::Request(client, message) => self.request(client, message, now),
-            clients::Note::Bad(bad) => {
-                self.counters.bad_requests += 1;
-                warn!("a request that can't be read: {bad}");
-            }
+            clients::Note::Bad(bad) => self.bad(bad, now),
             clients::Note::Left(id) => {
                 self.counters.left += 1;
                 if let Some(attempt) = self.driver.left(id) {
@@ -366,6 +372,35 @@
         }
     }
 
+    /// Counts a bad request by its kind. However many come, a line a second tells of them.
+    fn bad(&mut self, bad: BadRequest, now: Micros) {
+        let c = &mut self.counters;
+        c.bad_requests += 1;
+        let words = match bad {
+            BadRequest::Unreadable(bad) => {
+                c.bad_truncated += u64::from(bad == Bad::Truncated);
+                c.bad_large += u64::from(matches!(bad, Bad::BodyTooLarge | Bad::HeadTooLarge));
+                bad.to_string()
+            }
+            BadRequest::Late => {
+                c.bad_late += 1;
+                "it did not come whole in time".to_owned()
+            }
+            BadRequest::Meaningless(words) => {
+                c.bad_meaning += 1;
+                words.to_owned()
+            }
+            BadRequest::NameTaken => {
+                c.bad_name_taken += 1;
+                "its Request-Id is that of another one still open".to_owned()
+            }
+        };
+        if now >= self.bad_told + TOLD {
+            self.bad_told = now;
+            warn!("bad requests: {} so far; the last one: {words}", self.counters.bad_requests);
+        }
+    }
+
     fn request(&mut self, client: ConnId, message: garnetcrank_http::Request, now: Micros) {
         let notes = &mut self.client_notes;
         if message.target == "/healthz" {
@@ -376,22 +411,25 @@
         let meaning = match meaning(&self.settings, &message) {
             Ok(meaning) => meaning,
             Err((status, words)) => {
-                self.counters.bad_requests += 1;
-                warn!("a request that means nothing here: {words}");
-                return self.clients.answer_bad(client, status, words, now, notes);
+                self.clients.answer_bad(client, status, words, now, notes);
+                return self.bad(BadRequest::Meaningless(words), now);
             }
         };
+        if self.driver.is_open(&message) {
+            let words = "a request of this Request-Id is still open";
+            self.clients.answer_bad(client, 409, words, now, notes);
+            return self.bad(BadRequest::NameTaken, now);
+        }
         let bytes = self.driver.held_bytes() + message.body.len();
         if self.driver.held() >= self.most_held || bytes > self.most_bytes {
             self.counters.over_limit += 1;
             return self.clients.answer(client, 503, std::iter::empty(), b"", now, notes);
         }
         self.counters.requests += 1;
-        let (id, deadline) = self.driver.request(client, message, meaning, now);
+        let id = self.driver.request(client, message, meaning, now);
         if !self.clients.held(client, id) {
             self.client_note(clients::Note::Left(id), now);
         }
-        self.timers.set(deadline + OVERDUE, Due::Overdue(id));
     }
 
     fn carry_out(&mut self, command: Command, now: Micros) {
@@ -434,10 +472,13 @@
             Command::Probe(machine) => {
                 self.counters.probes += 1;
                 let started = match self.room_for(machine) {
-                    true => self.machines.probe(&self.handle, &mut self.ids, now, machine),
+                    true => {
+                        let notes = &mut self.machine_notes;
+                        self.machines.probe(&self.handle, &mut self.ids, now, machine, notes)
+                    }
                     false => Err(Outcome::Unsent),
                 };
-                self.started(started, now).unwrap_or_else(|outcome| {
+                started.unwrap_or_else(|outcome| {
                     self.driver.event(Event::Probed { machine, outcome, lag: 0, load: Vec::new() });
                 });
             }
@@ -466,37 +507,27 @@
         let streamed = self.settings.config.classes[held.class.0].streamed;
         let job = Job { id, attempt, machine, request: &held.message, until, streamed };
         let started = match room {
-            true => self.machines.attempt(&self.handle, &mut self.ids, now, &job),
+            true => {
+                let notes = &mut self.machine_notes;
+                self.machines.attempt(&self.handle, &mut self.ids, now, &job, notes)
+            }
             false => {
                 self.counters.no_descriptor += 1;
                 Err(Outcome::Unsent)
             }
         };
-        self.started(started, now).unwrap_or_else(|outcome| {
+        started.unwrap_or_else(|outcome| {
             self.count(outcome);
             self.driver.not_started(id, attempt, outcome);
         });
     }
 
-    /// Sets the timers of an exchange and writes what it can.
-    fn started(&mut self, started: Result<machines::Patience, Outcome>, now: Micros) -> Result<(), Outcome> {
-        let patience = started?;
-        let connect = patience.connect.filter(|at| *at < patience.until);
-        for at in connect.into_iter().chain([patience.until]) {
-            self.timers.set(at, Due::Patience(patience.conn));
-        }
-        // A connection that is being made tells when it is up.
-        if patience.connect.is_none() {
-            self.machines.go_on(patience.conn, now, &mut self.machine_notes);
-        }
-        Ok(())
-    }
-
     /// Prints the counters in one line.
     pub fn print_counters(&mut self) {
         let c = &mut self.counters;
         (c.machine_conns, c.reused) = (self.machines.opened, self.machines.reused);
         c.discovery_reconnects = self.discovery.reconnects;
+        c.idle_clients_closed = self.clients.idle_closed;
         (c.platform_reconnects, c.stale_news) = (self.platform.reconnects, self.platform.stale);
         let (memory_kib, cpu_ms) = resources();
         info!("{c} peak_memory_kib={memory_kib} cpu_ms={cpu_ms}");
--- a/crates/front/src/machines.rs
+++ b/crates/front/src/machines.rs
@@ -1,6 +1,6 @@
 //! Connections to machines: made, kept for further use, and the outcome of what was sent on them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 
@@ -40,6 +40,8 @@
     exchange: Exchange,
     placed: Micros,
     connect_until: Micros,
+    /// When it is next looked at: at the end of its time, or of that to connect.
+    due: Micros,
     until: Micros,
     begun: bool,
 }
@@ -48,7 +50,7 @@
     conn: Conn,
     machine: MachineId,
     /// Of the process that the connection was made to.
-    generation: u32,
+    generation: u64,
     under_way: Option<UnderWay>,
     idle_since: Micros,
     paused: bool,
@@ -57,7 +59,7 @@
 #[derive(Default)]
 struct Endpoint {
     address: Option<SocketAddr>,
-    generation: u32,
+    generation: u64,
     idle: Vec<ConnId>, // the newest last
 }
 
@@ -124,23 +126,16 @@
     pub streamed: bool,
 }
 
-/// A moment at which [`Machines::late`] wants to be called.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
-    /// The connection.
-    pub conn: ConnId,
-    /// When its connecting is given up; none: it is up.
-    pub connect: Option<Micros>,
-    /// When the exchange is given up.
-    pub until: Micros,
-}
-
 /// All connections to machines.
 pub struct Machines {
     transport: Transport,
     endpoints: BTreeMap<MachineId, Endpoint>,
+    /// Processes told of so far: no two connections to different ones bear the same number.
+    generations: u64,
     links: HashMap<ConnId, Link>,
     attempts: HashMap<(RequestId, usize), ConnId>,
+    /// When exchanges, or their connecting, are given up: one entry for each under way.
+    due: BTreeSet<(Micros, ConnId)>,
     /// Connections opened.
     pub opened: u64,
     /// Exchanges on kept connections.
@@ -153,8 +148,10 @@
         Machines {
             transport,
             endpoints: BTreeMap::new(),
+            generations: 0,
             links: HashMap::new(),
             attempts: HashMap::new(),
+            due: BTreeSet::new(),
             opened: 0,
             reused: 0,
         }
@@ -168,11 +165,18 @@
     /// News of where a machine listens. Kept connections to another process than that are dropped; what is
     /// under way on one ends by itself.
     pub fn place(&mut self, place: &Place) {
+        if place.address.is_none() {
+            // Nothing is kept for a machine that is gone; what is under way there ends by itself.
+            self.close_idle(place.machine);
+            self.endpoints.remove(&place.machine);
+            return;
+        }
         let endpoint = self.endpoints.entry(place.machine).or_default();
-        let moved = endpoint.address.is_some() && endpoint.address != place.address;
+        let same = endpoint.address == place.address && !place.renewed;
         endpoint.address = place.address;
-        if place.renewed || moved {
-            endpoint.generation += 1;
+        if !same {
+            self.generations += 1;
+            endpoint.generation = self.generations;
             self.close_idle(place.machine);
         }
     }
@@ -184,7 +188,8 @@
         ids: &mut ConnIds,
         now: Micros,
         job: &Job<'_>,
-    ) -> Result<Patience, Outcome> {
+        notes: &mut Vec<Note>,
+    ) -> Result<(), Outcome> {
         let wait = (job.until.saturating_sub(now) / MS).max(1).to_string();
         let skipped = ["request-timeout-ms", "server-load"];
         let passed = job.request.headers.end_to_end();
@@ -192,7 +197,7 @@
         let lines = passed.chain(std::iter::once(("Request-Timeout-Ms", wait.as_bytes())));
         let Request { method, target, body, .. } = job.request;
         let purpose = Purpose::Attempt { id: job.id, attempt: job.attempt, streamed: job.streamed };
-        self.start(handle, ids, now, (job.machine, purpose, job.until), |out| {
+        self.start(handle, ids, now, (job.machine, purpose, job.until), notes, |out| {
             write_request(out, method, target, lines, body).is_ok()
         })
     }
@@ -204,12 +209,13 @@
         ids: &mut ConnIds,
         now: Micros,
         machine: MachineId,
-    ) -> Result<Patience, Outcome> {
+        notes: &mut Vec<Note>,
+    ) -> Result<(), Outcome> {
         let target = if self.transport.report_columns.is_empty() { "/healthz" } else { "/load" };
         let host = self.endpoints.get(&machine).and_then(|e| e.address).map(|a| a.to_string());
         let host = host.ok_or(Outcome::Unsent)?;
         let lines = std::iter::once(("Host", host.as_bytes()));
-        self.start(handle, ids, now, (machine, Purpose::Probe, now + PROBE_WAIT), |out| {
+        self.start(handle, ids, now, (machine, Purpose::Probe, now + PROBE_WAIT), notes, |out| {
             write_request(out, "GET", target, lines, b"").is_ok()
         })
     }
@@ -225,16 +231,17 @@
         ids: &mut ConnIds,
         now: Micros,
         (machine, purpose, until): (MachineId, Purpose, Micros),
+        notes: &mut Vec<Note>,
         write: impl FnOnce(&mut garnetcrank_http::Ring) -> bool,
-    ) -> Result<Patience, Outcome> {
+    ) -> Result<(), Outcome> {
         let reader = match purpose {
             Purpose::Attempt { streamed: true, .. } => ResponseReader::streamed(BODY_MOST),
             _ => ResponseReader::whole(BODY_MOST),
         };
-        let (id, mut link, exchange, connect) = match self.kept(machine, now) {
+        let (id, mut link, exchange, connect_until) = match self.kept(machine, now) {
             Some((id, link)) => {
                 self.reused += 1;
-                (id, link, Exchange::on_open(reader), None)
+                (id, link, Exchange::on_open(reader), until)
             }
             None => {
                 let endpoint = self.endpoints.get(&machine).ok_or(Outcome::Unsent)?;
@@ -246,20 +253,27 @@
                 let link =
                     Link { conn, machine, generation, under_way: None, idle_since: now, paused: false };
                 let connect_until = now + self.transport.connect_timeout;
-                (id, link, Exchange::connecting(reader), Some(connect_until))
+                (id, link, Exchange::connecting(reader), connect_until)
             }
         };
         if !write(&mut link.conn.output) {
             return Err(Outcome::Unsent);
         }
-        let connect_until = connect.unwrap_or(until);
+        let up = exchange.connected();
         let placed = now;
-        link.under_way = Some(UnderWay { purpose, exchange, placed, connect_until, until, begun: false });
+        let due = connect_until.min(until);
+        link.under_way =
+            Some(UnderWay { purpose, exchange, placed, connect_until, due, until, begun: false });
+        self.due.insert((due, id));
         if let Purpose::Attempt { id: request, attempt, .. } = purpose {
             self.attempts.insert((request, attempt), id);
         }
         self.links.insert(id, link);
-        Ok(Patience { conn: id, connect, until })
+        // A connection that is being made tells when it is up.
+        if up {
+            self.go_on(id, now, notes);
+        }
+        Ok(())
     }
 
     /// Takes the newest kept connection that is surely open still.
@@ -308,7 +322,7 @@
                 _ => under_way.exchange.reader().take_body(),
             };
             let more = !bytes.is_empty();
-            under_way.until = now + STREAM_SILENCE;
+            under_way.until = now + STREAM_SILENCE; // looked at again when its first time is over
             if more {
                 notes.push(Note::Part { id: request, bytes });
             }
@@ -351,6 +365,7 @@
     ) {
         let Some(mut link) = self.links.remove(&id) else { return };
         let Some(under_way) = link.under_way.take() else { return };
+        self.due.remove(&(under_way.due, id));
         let lag = now.saturating_sub(under_way.placed);
         let (response, reusable) = answer.map_or((None, false), |(r, reusable)| (Some(r), reusable));
         let load = response.as_ref().map(|r| self.load(r, under_way.purpose)).unwrap_or_default();
@@ -383,18 +398,34 @@
         values.collect::<Option<Vec<_>>>().unwrap_or_default()
     }
 
-    /// Gives up what has waited for too long on a connection.
-    pub fn late(&mut self, id: ConnId, now: Micros, notes: &mut Vec<Note>) {
-        let Some(under_way) = self.links.get(&id).and_then(|l| l.under_way.as_ref()) else { return };
-        let outcome = match () {
-            () if !under_way.exchange.connected() && now >= under_way.connect_until => Outcome::Unreached,
-            () if now < under_way.until => return,
-            () if under_way.begun => Outcome::Broken,
-            () if under_way.exchange.sent() => Outcome::TimedOut,
-            // Its time is over before its last byte was written: the machine never begins it.
-            () => Outcome::Unsent,
-        };
-        self.end(id, outcome, None, now, notes);
+    /// When the first exchange must be looked at.
+    pub fn due(&self) -> Option<Micros> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    /// Gives up the exchanges whose time, or whose time to connect, is over.
+    pub fn late(&mut self, now: Micros, notes: &mut Vec<Note>) {
+        while self.due().is_some_and(|at| at <= now) {
+            let Some((_, id)) = self.due.pop_first() else { return };
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            let Some(under_way) = &mut link.under_way else { continue };
+            if under_way.begun && link.paused {
+                under_way.until = now + STREAM_SILENCE; // it is its client that is slow
+            }
+            let outcome = match () {
+                () if !under_way.exchange.connected() && now >= under_way.connect_until => Outcome::Unreached,
+                () if now >= under_way.until && under_way.begun => Outcome::Broken,
+                () if now >= under_way.until && under_way.exchange.sent() => Outcome::TimedOut,
+                // Its time is over before its last byte was written: the machine never begins it.
+                () if now >= under_way.until => Outcome::Unsent,
+                () => {
+                    under_way.due = under_way.until;
+                    self.due.insert((under_way.due, id));
+                    continue;
+                }
+            };
+            self.end(id, outcome, None, now, notes);
+        }
     }
 
     /// Calls an attempt off; one whose stream has begun goes on.
@@ -438,15 +469,12 @@
         oldest.inspect(|id| self.forget(*id)).is_some()
     }
 
-    /// Closes what has been idle for too long, and streams that have gone silent.
-    pub fn tend(&mut self, now: Micros, notes: &mut Vec<Note>) {
+    /// Closes what has been idle for too long.
+    pub fn tend(&mut self, now: Micros) {
         let keep = self.keep();
         let old = |l: &Link| l.under_way.is_none() && now >= l.idle_since + keep;
-        let silent = |l: &Link| !l.paused && l.under_way.as_ref().is_some_and(|u| u.begun && now >= u.until);
         let idle: Vec<ConnId> = self.links.iter().filter(|(_, l)| old(l)).map(|(id, _)| *id).collect();
-        let dead: Vec<ConnId> = self.links.iter().filter(|(_, l)| silent(l)).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|id| self.forget(id));
-        dead.into_iter().for_each(|id| self.late(id, now, notes));
     }
 
     fn forget(&mut self, id: ConnId) {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -59,6 +59,8 @@
     let digits = wait.bytes().all(|b| b.is_ascii_digit());
     let wait = wait.parse::<u64>().ok().filter(|ms| digits && *ms <= WAIT_MOST_MS);
     let wait = wait.ok_or((400, "Request-Timeout-Ms is no sensible number of milliseconds"))? * MS;
+    // No client waits longer than its class does, whatever it names: a place is held for so long.
+    let wait = wait.min(settings.config.classes[class].deadline);
     let hint = match headers.one("work-hint").map_err(bad)? {
         None => None,
         Some(text) => {
@@ -108,6 +110,8 @@
         let more = read("/pay/7?x=1", &format!("{WHOLE}work-hint: 1250\r\nClient-Retry: 1\r\n"));
         let more = more.expect("a request");
         assert_eq!((more.class, more.hint, more.repeat), (ClassId(2), Some(1250), true));
+        let patient = read("/look", &WHOLE.replace("480", "86400000")).expect("a request");
+        assert_eq!(patient.wait, 30_000_000, "a class's own deadline bounds what a client names");
     }
 
     #[test]
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -138,7 +138,14 @@
         (Does::Answer(500, "", Vec::new()), 502),
         (Does::Answer(503, "", Vec::new()), 502),
         (Does::Close, 502),
-        (Does::Nonsense, 502),
+        (Does::Say(b"no such protocol\r\n\r\n".to_vec()), 502),
+        (Does::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on".to_vec()), 502),
+        (Does::Say(b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello".to_vec()), 502),
+        (Does::Say([b"HTTP/1.1 200 OK\r\nX: ".to_vec(), vec![b'y'; 20_000]].concat()), 502),
+        (Does::Say(b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(50)), 502),
+        // Cut short, it would look whole: nothing says how long it is.
+        (Does::SayAndClose("HTTP/1.1 200 OK\r\n\r\nhalf an ans"), 502),
+        (Does::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf an ans"), 502),
         (Does::Answer(200, "", vec![b'x'; 70_000]), 502),
         (Does::Answer(503, "Not-Started: 1\r\n", Vec::new()), 503),
         (Does::Answer(504, "Not-Started: 1\r\n", Vec::new()), 503),
@@ -530,3 +537,109 @@
     });
     assert_eq!(front.client().look().status(), 200);
 }
+
+#[test]
+fn what_a_good_answer_brings_along_reaches_nobody() {
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+    for extra in [good, "\0\x01 noise", "HTTP/1.1 500 X\r\n\r\n"] {
+        let machine = Machine::start(Does::Say(format!("{good}{extra}").into_bytes()));
+        let (_discovery, _platform, plan) = around(&[machine.address]);
+        let front = Running::start(&plan);
+        let mut client = front.client();
+        for served in 1..=3 {
+            assert_eq!((client.look().status(), machine.requests().len()), (200, served), "{extra:?}");
+        }
+        assert_eq!(machine.connections(), 3, "used again after {extra:?}");
+    }
+    let interim = format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 X\r\n\r\n{good}");
+    let machine = Machine::start(Does::Say(interim.into_bytes()));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    assert_eq!(front.client().look().body, b"good");
+}
+
+#[test]
+fn a_silent_crowd_takes_no_places_and_is_turned_away() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    plan.sockets = 64;
+    let front = Running::start(&plan);
+    let mut crowd: Vec<Client> = (0..80).map(|_| front.client()).collect();
+    for _ in 0..5 {
+        assert_eq!(front.client().look().status(), 200);
+    }
+    assert!(crowd.iter_mut().all(Client::ended), "a silent client was answered");
+}
+
+#[test]
+fn clients_that_ask_once_and_stay_make_way_for_new_ones() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    plan.sockets = 64;
+    let front = Running::start(&plan);
+    let mut staying = Vec::new();
+    for _ in 0..60 {
+        let mut client = front.client();
+        assert_eq!(client.look().status(), 200);
+        staying.push(client);
+    }
+    front.signal("USR1");
+    until("some made way", || {
+        front.log().contains("clients_made_way=") && !front.log().contains("clients_made_way=0")
+    });
+    assert!(staying.iter_mut().all(Client::ended), "idle connections end by themselves");
+}
+
+#[test]
+fn a_request_named_like_an_open_one_never_reaches_a_machine() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let (text, mut first, mut second) = (request("GET", "/look", 9000, ""), front.client(), front.client());
+    first.send(&text);
+    until("the request at the machine", || machine.requests().len() == 1);
+    assert_eq!(second.say(&text).expect("an answer").status(), 409);
+    assert!(second.ended());
+    machine.release();
+    assert_eq!(first.read().expect("an answer").body, b"late");
+    assert_eq!(machine.requests().len(), 1);
+}
+
+#[test]
+fn dripping_is_no_progress() {
+    let (_discovery, _platform, plan) = around(&[]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    client.send("GET /look HTTP/1.1\r\nHost: x\r\nX: ");
+    until("the connection ends", || {
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        !client.send("y")
+    });
+    until("it is counted as late", || {
+        front.signal("USR1");
+        front.log().contains(" bad_late=1 ")
+    });
+}
+
+#[test]
+fn a_huge_body_is_turned_away_while_usual_clients_are_served() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut usual = front.client();
+    for _ in 0..3 {
+        let mut client = front.client();
+        client.send(
+            &request("POST", "/book", 9000, "").replace("Content-Length: 0", "Content-Length: 60000000"),
+        );
+        let block = "x".repeat(1_000_000);
+        let taken = (0..60).take_while(|_| client.send(&block)).count();
+        assert!(taken < 60, "all of it was read");
+        assert_eq!(usual.look().status(), 200);
+    }
+    until("they are counted as too large", || {
+        front.signal("USR1");
+        front.log().contains(" bad_large=3 ")
+    });
+    assert_eq!(machine.requests().len(), 3);
+}
--- a/crates/front/tests/stand_ins/mod.rs
+++ b/crates/front/tests/stand_ins/mod.rs
@@ -88,8 +88,10 @@
     Nothing,
     /// Closes the connection.
     Close,
-    /// Answers with bytes that are no HTTP.
-    Nonsense,
+    /// Says these bytes, whatever they are, and keeps the connection open.
+    Say(Vec<u8>),
+    /// Says these bytes and closes the connection.
+    SayAndClose(&'static str),
     /// Waits for [`Machine::release`], then answers with 200.
     Wait,
     /// Streams parts, each once released, and then ends or breaks off.
@@ -175,7 +177,11 @@
             Does::Answer(status, lines, body) => answer(status, lines, &body),
             Does::Nothing => continue,
             Does::Close => return,
-            Does::Nonsense => b"no such protocol\r\n\r\n".to_vec(),
+            Does::Say(bytes) => bytes,
+            Does::SayAndClose(text) => {
+                let _ = stream.write_all(text.as_bytes());
+                return;
+            }
             Does::Wait => {
                 wait();
                 answer(200, "", b"late")
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -12,6 +12,8 @@
 const CHUNK_LINE_MOST: usize = 512;
 /// Most trailer lines after the last chunk.
 const TRAILERS_MOST: usize = 32;
+/// Most interim answers in front of the final one; a machine that sends more never comes to it.
+const INTERIM_MOST: usize = 16;
 
 /// Why a message can't be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -360,18 +362,20 @@
 pub struct ResponseReader {
     most: usize,
     whole: bool,
+    interim: usize,
     under_way: Option<(Response, Framing)>,
 }
 
 impl ResponseReader {
-    /// For an answer that is held until it is whole, with a body of up to `most` bytes.
+    /// For an answer that is held until it is whole, with a body of up to `most` bytes. One with status 200 must
+    /// say how long it is: where only the connection's end tells, one that was cut short looks whole.
     pub fn whole(most: usize) -> Self {
-        ResponseReader { most, whole: true, under_way: None }
+        ResponseReader { most, whole: true, interim: 0, under_way: None }
     }
 
     /// For an answer of any length, whose body is taken as it comes, at most `most` bytes at once.
     pub fn streamed(most: usize) -> Self {
-        ResponseReader { most, whole: false, under_way: None }
+        ResponseReader { most, whole: false, interim: 0, under_way: None }
     }
 
     /// The answer as far as it has come: none before its head is whole.
@@ -393,6 +397,10 @@
             if head.status == 101 {
                 return Err(Bad::Unsupported("a change of protocol"));
             } else if head.status < 200 {
+                self.interim += 1;
+                if self.interim > INTERIM_MOST {
+                    return Err(Bad::Malformed("too many interim answers"));
+                }
                 continue;
             }
             let framing = match head.status {
@@ -402,6 +410,9 @@
             if self.whole && matches!(framing, Framing::Length(n) if n > self.most) {
                 return Err(Bad::BodyTooLarge);
             }
+            if self.whole && framing == Framing::UntilClose && head.status == 200 {
+                return Err(Bad::Malformed("an answer that does not say how long it is"));
+            }
             let keep_alive = head.keep_alive && framing != Framing::UntilClose;
             self.under_way = Some((Response { keep_alive, ..head }, framing));
         }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -93,7 +93,7 @@
         ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, true),
         ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", false, false),
         ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false, true),
-        ("HTTP/1.1 200 OK\r\n\r\nhello", true, false),
+        ("HTTP/1.1 500 Oops\r\n\r\nhello", true, false),
         ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, true),
     ] {
         let Ok(Parsing::Done(response)) = answer(text.as_bytes(), ended) else { panic!("{text:?}") };
@@ -103,6 +103,8 @@
             assert!(matches!(part, Ok(Parsing::More)), "{part:?} of {at} bytes of {text:?}");
         }
     }
+    // Cut short, this one would look as whole.
+    assert!(matches!(answer(b"HTTP/1.1 200 OK\r\n\r\nhello", true), Err(Bad::Malformed(_))));
     let without = answer(b"HTTP/1.1 204 None\r\n\r\n", false);
     assert!(matches!(without, Ok(Parsing::Done(r)) if r.body.is_empty() && r.keep_alive));
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,15 +18,20 @@
     }
 
     pub(crate) fn add(&mut self, now: Micros, class: ClassId) {
+        self.trim(now); // also where nobody counts, as between two trials
         self.log.push_back((now, class));
         self.counts[class.0] += 1;
     }
 
-    /// What is left of the span that ends now; of one class, or of all.
-    pub(crate) fn count(&mut self, now: Micros, class: Option<ClassId>) -> f64 {
+    fn trim(&mut self, now: Micros) {
         while let Some((_, class)) = self.log.pop_front_if(|(at, _)| *at + self.span < now) {
             self.counts[class.0] -= 1;
         }
+    }
+
+    /// What is left of the span that ends now; of one class, or of all.
+    pub(crate) fn count(&mut self, now: Micros, class: Option<ClassId>) -> f64 {
+        self.trim(now);
         class.map_or(self.log.len() as f64, |c| f64::from(self.counts[c.0]))
     }
 
@@ -243,3 +248,18 @@
     }
     machines.into_values().map(|(sum, count)| sum / count).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_window_that_nobody_counts_keeps_its_span_only() {
+        let mut window = Window::new(1_000, 1);
+        for now in 0..100_000 {
+            window.add(now, ClassId(0));
+            assert!(window.log.len() <= 1_001, "{} entries are kept", window.log.len());
+        }
+        assert_eq!(window.count(100_000, None), 1_000.0);
+    }
+}
