A build under the fleet test is blamed if its stage moves on and the fleet stays slow

News is 0.8 s late and a stage lasts 4.25 s, so the stage had moved on before the hold. judge_fleet (brain.rs) returned early outside its stages and left the suspicion standing: a hold for good, no verdict, and the build withheld while its machines replaced the others. Ruled out: the reload (votes went out and were answered), the limit on descriptors, the fronts' processor. Now: outside the dose the build is withheld no more; if the earlier machines' times are still surely raised 3 s after the suspicion it is voted back, else the suspicion ends.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -145,10 +145,9 @@
             Event::Voted(ballot, stage) => self.voted(ballot, stage),
             Event::Flagged { machine, class, age } => {
                 let seen = Seen { at: now, outcome: Outcome::Error, slower: None, excess: None, machine };
-                let build = self.machines.get(&machine).map(|m| m.entry.build);
-                build
-                    .into_iter()
-                    .for_each(|b| self.record(b).add(class, seen, now.saturating_sub(age), KEPT));
+                if let Some(build) = self.machines.get(&machine).map(|m| m.entry.build) {
+                    self.record(build).add(class, seen, now.saturating_sub(age), KEPT);
+                }
             }
             Event::Tally { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
@@ -310,20 +309,17 @@
     /// before the trial, the clock is held and the build withheld for 3 s: a rise that goes, and comes back
     /// with the build, is its doing. All fronts see it at about the same time and withhold together.
     /// Danger: a build slows old and new alike. Harm: a hold on a good build; a trouble in step by chance.
+    /// Exception: the stage moves on under the test, as news and holds travel. The build is withheld no more,
+    /// and blamed if the fleet is still slow 3 s after it was suspected. Harm: a trouble that came with it.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
-        let (now, build, (surely, enough)) = (self.now, stage.build, self.surely());
-        if stage.phase != Phase::Trial
-            || !self.config.rollout.stages.get(stage.stage).is_some_and(|s| DOSE.contains(s))
-        {
-            return Mark::Unjudged;
-        }
-        let old = Level::of(&self.times(self.earlier(build)));
+        let (now, build, (surely, enough), dosed) = (self.now, stage.build, self.surely(), self.dosed());
+        let trial = stage.phase == Phase::Trial;
+        let old = Level::of(&self.times(self.earlier(build).filter(|_| trial)));
         let raised = old.count >= enough.max(JUDGED_FROM) && old.mean - surely * old.chance(CHANCE) > RAISED;
-        let (replaced, settled) =
-            (self.replaced, self.replaced > self.staged && now > self.replaced + SETTLE);
+        let (replaced, settled) = (self.replaced, self.replaced > self.staged);
         let record = self.record(build);
-        let Some((since, rise)) = record.suspected else {
-            if raised && settled && record.cleared != Some(stage.stage) {
+        let Some((since, rise)) = record.suspected.filter(|_| trial) else {
+            if dosed && raised && settled && now > replaced + SETTLE && record.cleared != Some(stage.stage) {
                 (record.suspected, record.steps) = (Some((now, old.mean)), Default::default());
                 self.log(true, || format!("all machines slower: withholding build {} for 3 s", build.0));
             }
@@ -335,6 +331,7 @@
         let goes = without.count >= enough && rise - without.mean > least;
         let back = with.count >= enough && with.mean - without.mean > sure;
         match now - since {
+            age if !dosed && raised => return if age < SUSTAINED { Mark::Unjudged } else { Mark::Fail },
             // Machines that come or go change the times by themselves: such a test tells nothing.
             _ if replaced > since => record.suspected = None,
             0..SUSTAINED => {}
@@ -349,6 +346,11 @@
         Mark::Unjudged
     }
 
+    /// Whether the newest build is at a stage at which withholding it can tell.
+    fn dosed(&self) -> bool {
+        self.news.and_then(|n| self.config.rollout.stages.get(n.stage)).is_some_and(|s| DOSE.contains(s))
+    }
+
     /// Brings the record of the newest build up to date: marks, failure timers, state.
     fn judge(&mut self) {
         let Some(news) = self.news.filter(|n| n.phase.stands()) else { return };
@@ -425,9 +427,7 @@
             (Some(wish), Some((vote, at))) if wish == vote && now < at + renew => return,
             (Some(wish), _) => wish,
             // A hold that no failure backs any more is taken away, so that it costs no further delay.
-            (None, Some((vote, _))) if vote.verdict == Verdict::Hold => {
-                Vote { verdict: Verdict::None, ..vote }
-            }
+            (None, Some((v, _))) if v.verdict == Verdict::Hold => Vote { verdict: Verdict::None, ..v },
             (None, _) => return,
         };
         if now < self.vote_not_before {
@@ -546,7 +546,8 @@
 
     /// A build that failed or is withheld is used only for want of others. A class that fails is still sent.
     fn shunned(&self, build: Build) -> bool {
-        let withheld = |r: &Record| r.suspected.is_some_and(|(since, _)| self.now < since + SUSTAINED);
+        let fresh = |since: Micros| self.now < since + SUSTAINED && self.dosed();
+        let withheld = |r: &Record| r.suspected.is_some_and(|(since, _)| fresh(since));
         self.records.get(&build).is_some_and(|r| r.state == State::Failed || withheld(r))
     }
 
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -140,6 +140,27 @@
     assert!(votes.contains(&Verdict::Hold) && votes.contains(&Verdict::Back), "{votes:?}");
 }
 
+#[test]
+fn the_stage_moves_on_under_the_test_of_a_build_that_slows_all_machines() {
+    for (slow_after, expected) in [(3, Verdict::Back), (1, Verdict::None)] {
+        let mut rig = warmed_up();
+        let mut votes = Vec::new();
+        while !votes.contains(&Verdict::Hold) {
+            votes.extend(paced(&mut rig, 100, |_| 3));
+        }
+        rig.send(Event::Stage(stage(NEW, 2, Phase::Trial, 1.0)));
+        // The earlier machines go one by one, and the build is withheld from none of the requests.
+        let mut to_new = 0;
+        for left in (1..=6).rev() {
+            rig.list((1..=left).map(|m| entry(m, OLD)).chain((8..=13).map(|m| entry(m, NEW))).collect());
+            to_new += (0..40).filter(|_| rig.serve(READ, |_| Outcome::Served) > Some(MachineId(7))).count();
+            votes.extend(paced(&mut rig, 600, |_| slow_after));
+        }
+        assert!(to_new > 80, "{to_new} of 240 requests went to the machines that stay");
+        assert_eq!(votes.last(), Some(&expected), "{votes:?}");
+    }
+}
+
 #[test]
 fn a_dependency_slows_every_machine_and_the_build_is_blamed() {
     let mut rig = warmed_up();
