--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -34,7 +34,7 @@
 /// Where room is needed, one without a request for so long makes way ...
 const MAKES_WAY: Micros = 2 * SECOND;
 /// ... and one that was made so long ago and never said a word: whoever has something to say says it at once.
-const SILENT: Micros = 150 * MS;
+const SILENT: Micros = 50 * MS;
 /// After the last answer on a connection, what the client still sends is read for so long and up to so many
 /// bytes, lest a reset overtakes the answer.
 const LINGER: Micros = 300 * MS;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -32,6 +32,8 @@
 const SWEEP: Micros = 20 * MS;
 /// Clients accepted in a turn at the most, so that those already there are not kept waiting.
 const ACCEPTS: usize = 64;
+/// A turn that everyone waits for so long is told of: the host is short of CPU, or something here is slow.
+const LONG_TURN: Micros = 20 * MS;
 /// How often bad requests are told of, however many come.
 const TOLD: Micros = SECOND;
 
@@ -82,7 +84,9 @@
         let crowd = descriptors / CROWD + 1;
         // A held request takes its client's connection and one to a machine.
         let most_held = settings.transport.most_held.unwrap_or(usize::MAX).min((descriptors - crowd) / 2);
-        let most_clients = descriptors - most_held;
+        // Half of what held requests may need at machines is kept free of clients; for the other half those
+        // without a request make way.
+        let most_clients = descriptors - most_held / 2;
         let mut front = Front {
             clients: Clients::listen(&handle, process.listen)?,
             machines: Machines::new(settings.transport.clone()),
@@ -161,6 +165,9 @@
         }
         self.settle();
         let took = self.clock.now() - now;
+        if took >= LONG_TURN {
+            warn!("a turn of the loop took {} ms", took / MS);
+        }
         let (clients, conns) = (self.clients.len() as u64, self.machines.len() as u64);
         let c = &mut self.counters;
         c.longest_turn_us = c.longest_turn_us.max(took);
@@ -268,9 +275,10 @@
         made
     }
 
-    /// Whether an exchange with this machine can have a connection; a kept one to another may make way.
-    fn room_for(&mut self, machine: MachineId) -> bool {
-        self.machines.has_idle(machine) || self.room() || self.make_room()
+    /// Whether an exchange with this machine can have a connection; a kept one to another may make way, or a
+    /// client without a request.
+    fn room_for(&mut self, machine: MachineId, now: Micros) -> bool {
+        self.machines.has_idle(machine) || self.room() || self.make_room() || self.client_makes_way(now)
     }
 
     fn sweep(&mut self, now: Micros) {
@@ -471,7 +479,7 @@
             Command::Timer { at, token } => self.timers.set(at, Due::Decisions(token)),
             Command::Probe(machine) => {
                 self.counters.probes += 1;
-                let started = match self.room_for(machine) {
+                let started = match self.room_for(machine, now) {
                     true => {
                         let notes = &mut self.machine_notes;
                         self.machines.probe(&self.handle, &mut self.ids, now, machine, notes)
@@ -502,7 +510,7 @@
         if self.driver.get(id).is_none() {
             return self.driver.not_started(id, attempt, Outcome::Unsent);
         }
-        let room = self.room_for(machine);
+        let room = self.room_for(machine, now);
         let Some(held) = self.driver.get(id) else { return };
         let streamed = self.settings.config.classes[held.class.0].streamed;
         let job = Job { id, attempt, machine, request: &held.message, until, streamed };
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -643,3 +643,19 @@
     });
     assert_eq!(machine.requests().len(), 3);
 }
+
+#[test]
+fn silent_clients_make_way_for_the_connections_of_held_requests() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    plan.sockets = 64;
+    let front = Running::start(&plan);
+    let _crowd: Vec<Client> = (0..31).map(|_| front.client()).collect();
+    let mut usual: Vec<Client> = (0..15).map(|_| front.client()).collect();
+    for client in &mut usual {
+        client.send(&request("GET", "/look", 25_000, ""));
+    }
+    until("all requests at the machine", || machine.requests().len() == 15);
+    machine.release();
+    assert!(usual.iter_mut().all(|c| c.read().is_some_and(|a| a.status() == 200)));
+}
