A build whose stage moves on under the test is judged 3 s on, by old and new times

Lines: the first arm of the match in judge_fleet looked at every tick, at the earlier machines alone, which are being emptied. Now it is looked at once, 3 s after the suspicion, over the earlier machines and the build's.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -310,11 +310,13 @@
     /// with the build, is its doing. All fronts see it at about the same time and withhold together.
     /// Danger: a build slows old and new alike. Harm: a hold on a good build; a trouble in step by chance.
     /// Exception: the stage moves on under the test, as news and holds travel. The build is withheld no more,
-    /// and blamed if the fleet is still slow 3 s after it was suspected. Harm: a trouble that came with it.
+    /// and blamed if old and new are still slow 3 s after it was suspected. Harm: a trouble that came along.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build, (surely, enough), dosed) = (self.now, stage.build, self.surely(), self.dosed());
         let trial = stage.phase == Phase::Trial;
-        let old = Level::of(&self.times(self.earlier(build).filter(|_| trial)));
+        let mut times = self.times(self.earlier(build).filter(|_| trial));
+        times.extend(self.times(self.records.get(&build).filter(|_| trial && !dosed)));
+        let old = Level::of(&times);
         let raised = old.count >= enough.max(JUDGED_FROM) && old.mean - surely * old.chance(CHANCE) > RAISED;
         let (replaced, settled) = (self.replaced, self.replaced > self.staged);
         let record = self.record(build);
@@ -326,12 +328,12 @@
             return Mark::Unjudged;
         };
         let [without, with] = record.steps.each_ref().map(|step| Level::of(step));
-        let least = IN_STEP * rise;
-        let sure = least.max(surely * with.chance(CHANCE).hypot(without.chance(CHANCE)));
-        let goes = without.count >= enough && rise - without.mean > least;
+        let sure = (IN_STEP * rise).max(surely * with.chance(CHANCE).hypot(without.chance(CHANCE)));
+        let goes = without.count >= enough && rise - without.mean > IN_STEP * rise;
         let back = with.count >= enough && with.mean - without.mean > sure;
         match now - since {
-            age if !dosed && raised => return if age < SUSTAINED { Mark::Unjudged } else { Mark::Fail },
+            age if !dosed && age < SUSTAINED => {}
+            _ if !dosed && raised => return Mark::Fail,
             // Machines that come or go change the times by themselves: such a test tells nothing.
             _ if replaced > since => record.suspected = None,
             0..SUSTAINED => {}
@@ -346,7 +348,6 @@
         Mark::Unjudged
     }
 
-    /// Whether the newest build is at a stage at which withholding it can tell.
     fn dosed(&self) -> bool {
         self.news.and_then(|n| self.config.rollout.stages.get(n.stage)).is_some_and(|s| DOSE.contains(s))
     }
@@ -593,8 +594,7 @@
         let machine = &self.machines[&id];
         let across = machine.entry.zone != self.config.zone && self.config.cross_zone_price > 0.0;
         let size = machine.entry.rating.max(0.01) * self.warmth(&machine.entry).unwrap_or(1.0);
-        let waits = f64::from(machine.open + 1) * self.pace(machine).exp() / size;
-        waits * if across { CROSSING } else { 1.0 }
+        f64::from(machine.open + 1) * self.pace(machine).exp() / size * if across { CROSSING } else { 1.0 }
     }
 
     /// A machine's pace fades, so that a slow one is tried again.
@@ -795,9 +795,9 @@
             self.out.push(Action::Subscribe(true));
         }
         if self.time_used > FULL_TIME {
-            let least =
-                (LEAST_OPEN * self.listed.len() as f64 / f64::from(self.config.fronts)).max(LEAST_HERE);
-            self.limit = (self.limit.min(f64::from(self.open)) * (1.0 - LIMIT_STEP)).max(least);
+            let least = LEAST_OPEN * self.listed.len() as f64 / f64::from(self.config.fronts);
+            self.limit =
+                (self.limit.min(f64::from(self.open)) * (1.0 - LIMIT_STEP)).max(least).max(LEAST_HERE);
         } else if self.time_used < FREE_TIME {
             self.limit = (self.limit * (1.0 + LIMIT_STEP)).min(MOST_OPEN);
         }
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -151,10 +151,11 @@
         rig.send(Event::Stage(stage(NEW, 2, Phase::Trial, 1.0)));
         // The earlier machines go one by one, and the build is withheld from none of the requests.
         let mut to_new = 0;
-        for left in (1..=6).rev() {
+        for left in (0..6).rev() {
             rig.list((1..=left).map(|m| entry(m, OLD)).chain((8..=13).map(|m| entry(m, NEW))).collect());
             to_new += (0..40).filter(|_| rig.serve(READ, |_| Outcome::Served) > Some(MachineId(7))).count();
-            votes.extend(paced(&mut rig, 600, |_| slow_after));
+            // A moment of quick answers says nothing yet, whatever follows.
+            votes.extend(paced(&mut rig, 600, |_| if left == 4 { 1 } else { slow_after }));
         }
         assert!(to_new > 80, "{to_new} of 240 requests went to the machines that stay");
         assert_eq!(votes.last(), Some(&expected), "{votes:?}");
