--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,7 +54,7 @@
 
 // Requests.
 const ON_THE_WAY: Micros = 100 * MS; // a keyed repeat must arrive while the first is still remembered
-const RETRY_EARNED: f64 = 0.1; // retries earned by a request: a retry storm stays a tenth of the traffic
+const RETRY_EARNED: f64 = 0.2; // retries earned by a request: a retry storm stays a fifth of the traffic
 const RETRY_SAVED: f64 = 10.0; // most retries saved up
 const FULL_TIME: f64 = 0.55; // mean time over aim above which fewer requests are let in: queues build up
 const FREE_TIME: f64 = 0.45; // and below which more are
@@ -707,9 +707,9 @@
             return;
         }
         let used = lag as f64 / self.config.classes[request.class.0].aim.max(1) as f64;
-        // A quick refusal is no quick answer, one stalled machine no full fleet; a dead one tells nothing.
+        // A quick refusal is no quick answer, one stalled machine no full fleet; a lost connection tells nothing.
         let used = if outcome == Outcome::Served { used.min(1.0) } else { 1.0 };
-        let weight = if outcome == Outcome::Unreached { 0.0 } else { TIME_NEWEST };
+        let weight = if matches!(outcome, Outcome::Unreached | Outcome::Broken) { 0.0 } else { TIME_NEWEST };
         self.time_used += (used - self.time_used) * weight;
         if matches!(outcome, Outcome::Served | Outcome::TimedOut) {
             let missed = f64::from(u8::from(used >= 1.0));
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -259,3 +259,47 @@
     rig.done(id, 0, Outcome::Served, 0);
     rig.tick(25);
 }
+
+#[test]
+fn lost_connections_are_taken_for_a_full_fleet() {
+    let mut rig = Rig::new(config());
+    rig.list((1..=6).map(|m| entry(m, OLD)).collect());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    for round in 0..200 {
+        let ids: Vec<RequestId> = (0..12)
+            .map(|i| {
+                let (id, out) = rig.request(PAY);
+                assert!(placed(&out).is_some(), "request {i} of round {round} was refused");
+                id
+            })
+            .collect();
+        rig.now += 20 * MS;
+        for (i, id) in ids.into_iter().enumerate() {
+            rig.done(id, 0, if i < 8 { Outcome::Broken } else { Outcome::Served }, 20 * MS);
+        }
+        rig.tick(25);
+    }
+}
+
+#[test]
+fn connections_lost_all_day_leave_requests_without_a_second_try() {
+    let mut rig = Rig::new(config());
+    rig.list((1..=6).map(|m| entry(m, OLD)).collect());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    let (mut attempts, mut refused) = (0, 0);
+    for _ in 0..2_000 {
+        let (id, mut out) = rig.request(READ);
+        let mut attempt = 0;
+        while placed(&out).is_some() {
+            attempts += 1;
+            // One attempt in seven is lost.
+            let outcome = if attempts % 7 == 0 { Outcome::Broken } else { Outcome::Served };
+            rig.now += 5 * MS;
+            out = rig.done(id, attempt, outcome, 5 * MS);
+            attempt += 1;
+        }
+        refused += finals(&out);
+        rig.tick(5);
+    }
+    assert!(refused < 20, "{refused} of 2000 refused though a second try would have served them");
+}
