The test of lost answers draws enough machines to tell an ejection from chance

With more second tries its 60 requests missed one machine by chance: slower by its faults, it is drawn alone one time in 36. With 300, and resets ejecting at once, it fails; without, it holds.

--- a/tests/size.rs
+++ b/tests/size.rs
@@ -139,8 +139,9 @@
         });
         rig.tick(25);
     }
+    // Enough of them, within a third of an ejection, for a machine that loses its comparisons to be drawn alone.
     let met: std::collections::BTreeSet<_> =
-        (0..60).filter_map(|_| rig.serve(READ, |_| Outcome::Served)).collect();
+        (0..300).filter_map(|_| rig.serve(READ, |_| Outcome::Served)).collect();
     assert_eq!(met.len(), 6, "a reset now and then ejects no machine: {met:?}");
 }
 
