--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -661,3 +661,22 @@
     machine.release();
     assert!(usual.iter_mut().all(|c| c.read().is_some_and(|a| a.status() == 200)));
 }
+
+#[test]
+fn a_watch_spoilt_again_and_again_still_brings_the_news() {
+    let (old, new) = (Machine::start(ok("old")), Machine::start(ok("new")));
+    let (discovery, platform, plan) = around(&[old.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    // What was whole before the noise stands, and every connection after it is spoilt from its first line on.
+    let change = [member("s-0", old.address, 4, "Terminating"), member("s-9", new.address, 4, "Ready")];
+    discovery.tell(&format!("{}\n][", list(2, false, &change)), "][");
+    platform.tell("][", "{\"type\":");
+    until("answers from the machine told before the noise", || client.look().body == b"new");
+    until("several connections, all spoilt", || discovery.asked().len() > 4 && platform.asked().len() > 4);
+    let back = list(3, true, &[member("s-0", old.address, 4, "Ready")]);
+    discovery.tell("", &back);
+    platform.tell("", &progress(&state(5, 0, "IN_PROGRESS", 0.5)));
+    until("the list is back", || client.look().body == b"old");
+    until("the platform's news is back", || front.log().contains("build 5 stage 0: Trial"));
+}
