--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -670,7 +670,7 @@
     let mut client = front.client();
     // What was whole before the noise stands, and every connection after it is spoilt from its first line on.
     let change = [member("s-0", old.address, 4, "Terminating"), member("s-9", new.address, 4, "Ready")];
-    discovery.tell(&format!("{}\n][", list(2, false, &change)), "][");
+    discovery.spoil(&list(2, false, &change), "][");
     platform.tell("][", "{\"type\":");
     until("answers from the machine told before the noise", || client.look().body == b"new");
     until("several connections, all spoilt", || discovery.asked().len() > 4 && platform.asked().len() > 4);
--- a/crates/front/tests/stand_ins/mod.rs
+++ b/crates/front/tests/stand_ins/mod.rs
@@ -267,6 +267,14 @@
         state.streams.retain_mut(|s| s.write_all(&chunk(&format!("{line}\n"))).is_ok());
     }
 
+    /// Tells a line with bytes right behind it that are no chunk; those who come later are told `first`.
+    pub fn spoil(&self, line: &str, first: &str) {
+        let mut state = lock(&self.shared);
+        state.first = first.to_owned();
+        let bytes = [chunk(&format!("{line}\n")), b"no chunk\r\n".to_vec()].concat();
+        state.streams.retain_mut(|s| s.write_all(&bytes).is_ok());
+    }
+
     /// Falls silent, or speaks again on connections to come.
     pub fn silence(&self, silent: bool) {
         lock(&self.shared).silent = silent;
