One piece each for a descriptor found, an unreadable request noted and a stalled client

find_room was written out twice (accepts, machine connections); each caller of bad pushed its note beside it; tend carried two flags that the client itself tells.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -230,7 +230,6 @@
                         if !midway {
                             break true;
                         }
-                        notes.push(Note::Bad(BadRequest::Unreadable(Bad::Truncated)));
                         return self.bad(id, Bad::Truncated, now, notes);
                     }
                     Ok(Parsing::More) => {
@@ -241,7 +240,6 @@
                         }
                     }
                     Err(bad) => {
-                        notes.push(Note::Bad(BadRequest::Unreadable(bad)));
                         return self.bad(id, bad, now, notes);
                     }
                 },
@@ -258,6 +256,7 @@
     }
 
     fn bad(&mut self, id: ConnId, bad: Bad, now: Micros, notes: &mut Vec<Note>) {
+        notes.push(Note::Bad(BadRequest::Unreadable(bad)));
         self.answer_bad(id, bad.status(), &bad.to_string(), now, notes);
     }
 
@@ -387,17 +386,18 @@
                 _ => STALLED,
             };
             if since >= limit {
-                stalled.push((*id, client.state == State::Reading && !client.idle(), client.idle()));
+                stalled.push(*id);
             }
         }
         unread.into_iter().for_each(|id| self.go_on(id, now, notes));
-        for (id, midway, idle) in stalled {
-            if midway {
+        for id in stalled {
+            let Some(client) = self.clients.get(&id) else { continue };
+            if !client.idle() && client.state == State::Reading {
                 notes.push(Note::Bad(BadRequest::Late));
                 self.answer_bad(id, 408, "the request did not come whole in time", now, notes);
-            } else if !idle || self.clients.get(&id).is_some_and(|c| c.conn.quiet()) {
-                // What has come just now is read first.
-                self.idle_closed += u64::from(idle);
+            } else if !client.idle() || client.conn.quiet() {
+                // What has come just now on an idle one is read first.
+                self.idle_closed += u64::from(client.idle());
                 self.leave(id, notes);
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -247,7 +247,7 @@
             let room = if self.clients.len() >= self.most_clients {
                 self.client_makes_way(now)
             } else {
-                self.room() || self.make_room() || self.client_makes_way(now)
+                self.find_room(now)
             };
             if !room {
                 // Those who wait get in as soon as answers close connections, or others have rested long enough.
@@ -265,6 +265,11 @@
         self.clients.len() + self.machines.len() < self.descriptors
     }
 
+    /// Whether there is a descriptor: a free one, or that of a kept connection or a client that makes way.
+    fn find_room(&mut self, now: Micros) -> bool {
+        self.room() || self.make_room() || self.client_makes_way(now)
+    }
+
     fn client_makes_way(&mut self, now: Micros) -> bool {
         let made = self.clients.make_way(now);
         self.counters.clients_made_way += u64::from(made);
@@ -280,7 +285,7 @@
     /// Whether an exchange with this machine can have a connection; a kept one to another may make way, or a
     /// client without a request.
     fn room_for(&mut self, machine: MachineId, now: Micros) -> bool {
-        self.machines.has_idle(machine) || self.room() || self.make_room() || self.client_makes_way(now)
+        self.machines.has_idle(machine) || self.find_room(now)
     }
 
     fn sweep(&mut self, now: Micros) {
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -474,8 +474,7 @@
     pub fn read(&mut self, ring: &mut Ring, ended: bool, lines: &mut Vec<Vec<u8>>) -> Result<bool, Bad> {
         loop {
             let before = ring.len();
-            let read = self.reader.read(ring, ended);
-            let (body, over) = match read {
+            let (body, over) = match self.reader.read(ring, ended) {
                 Ok(Parsing::Done(response)) => (response.body, Ok(true)),
                 Ok(Parsing::More) => (self.reader.take_body(), Ok(false)),
                 Err(bad) => (self.reader.take_body(), Err(bad)),
