--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -121,10 +121,16 @@
     votes
 }
 
-fn warmed_up() -> Rig {
+/// Six machines of a released build, and none on trial.
+fn released() -> Rig {
     let mut rig = Rig::new(config());
     rig.list((1..=6).map(|m| entry(m, OLD)).collect());
     rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    rig
+}
+
+fn warmed_up() -> Rig {
+    let mut rig = released();
     paced(&mut rig, 2_000, |_| 1);
     rig.send(Event::Stage(stage(NEW, 1, Phase::Trial, 0.5)));
     rig.now += 100 * MS;
@@ -262,9 +268,7 @@
 
 #[test]
 fn lost_connections_are_taken_for_a_full_fleet() {
-    let mut rig = Rig::new(config());
-    rig.list((1..=6).map(|m| entry(m, OLD)).collect());
-    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    let mut rig = released();
     for round in 0..200 {
         let ids: Vec<RequestId> = (0..12)
             .map(|i| {
@@ -283,9 +287,7 @@
 
 #[test]
 fn connections_lost_all_day_leave_requests_without_a_second_try() {
-    let mut rig = Rig::new(config());
-    rig.list((1..=6).map(|m| entry(m, OLD)).collect());
-    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    let mut rig = released();
     let (mut attempts, mut refused) = (0, 0);
     for _ in 0..2_000 {
         let (id, mut out) = rig.request(READ);
