A store that survives crashes, tested by cutting the power at every write

Need: instances that agree on one decision must not forget a vote, an entry or an epoch, whatever the power does.

The disk stand-in cuts the power at every write or sync, loses or tears unsynced writes, fills up, rots.

Found by it: a header could tell of pages beyond the file's end if the new length was not synced before it, and the file then could not be opened; growth is now synced at once. Without syncs the same check finds a loss.

--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins: devices and peers that misbehave on request, for the tests and benches of all packages.
+
+pub mod disk;
--- /dev/null
+++ b/crates/store/src/device.rs
@@ -0,0 +1,37 @@
+//! The device under the pages, with a new length made durable before anything is written that relies on it.
+
+use std::io;
+
+use redb::StorageBackend;
+
+/// Syncs after each change of length. Without it a crash can leave a header that tells of pages beyond the file's
+/// end, since a file system may write the header's block before the new length; the pages can't be opened then.
+#[derive(Debug)]
+pub(crate) struct Steady<B>(pub(crate) B);
+
+impl<B: StorageBackend> StorageBackend for Steady<B> {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)?;
+        self.0.sync_data()
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+
+    fn close(&self) -> io::Result<()> {
+        self.0.close()
+    }
+}
