--- a/crates/agreement/src/gate.rs
+++ b/crates/agreement/src/gate.rs
@@ -34,13 +34,13 @@
     Full,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Watched {
     newest: Epoch,
     let_through: BTreeMap<Subject, Through>,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Through {
     epoch: Epoch,
     settled: bool,
@@ -56,7 +56,7 @@
 }
 
 /// The gate's whole state.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Gate {
     roles: BTreeMap<Role, Watched>,
 }
@@ -155,7 +155,10 @@
         assert_eq!(gate.pass(&role, Epoch(1), &next), Passage::Full);
         gate.settled(&role, &Subject::new("order", 0));
         assert_eq!(gate.pass(&role, Epoch(1), &next), Passage::Full, "a late copy of order 0 may still come");
-        assert_eq!(gate.pass(&role, Epoch(1), &Subject::new("order", 0)), Passage::Repeat { epoch: Epoch(1) });
+        assert_eq!(
+            gate.pass(&role, Epoch(1), &Subject::new("order", 0)),
+            Passage::Repeat { epoch: Epoch(1) }
+        );
         assert_eq!(gate.pass(&role, Epoch(2), &next), Passage::Open);
     }
 }
--- a/crates/agreement/src/journal.rs
+++ b/crates/agreement/src/journal.rs
@@ -97,7 +97,8 @@
             ..Inner::default()
         };
         if let Some(held) = loaded.snapshot {
-            let mut metadata = SnapshotMetadata { index: held.index, term: held.term, ..SnapshotMetadata::default() };
+            let mut metadata =
+                SnapshotMetadata { index: held.index, term: held.term, ..SnapshotMetadata::default() };
             let mut conf = ConfState::default();
             conf.merge_from_bytes(&held.members).ok()?;
             metadata.set_conf_state(conf);
@@ -133,10 +134,6 @@
         self.0.borrow_mut().hard = hard;
     }
 
-    pub(crate) fn set_commit(&self, commit: u64) {
-        self.0.borrow_mut().hard.commit = commit;
-    }
-
     /// A snapshot from the leader takes the place of everything held.
     pub(crate) fn install(&self, snapshot: Snapshot) {
         let mut inner = self.0.borrow_mut();
--- a/crates/agreement/src/ledger.rs
+++ b/crates/agreement/src/ledger.rs
@@ -219,7 +219,11 @@
     }
 
     /// Subjects of a space, from a number on, in order.
-    pub fn subjects<'a>(&'a self, space: &str, from: u64) -> impl Iterator<Item = (&'a Subject, &'a Standing)> {
+    pub fn subjects<'a>(
+        &'a self,
+        space: &str,
+        from: u64,
+    ) -> impl Iterator<Item = (&'a Subject, &'a Standing)> {
         let first = Subject::new(space, from);
         let space = space.to_owned();
         self.subjects.range(first..).take_while(move |(subject, _)| subject.space == space)
@@ -483,7 +487,11 @@
     impl Run {
         fn new() -> Self {
             let mut ledger = Ledger::founded([member(1), member(2)]);
-            let open = Proposal { session: SessionId(0), sequence: Sequence(0), command: Command::Open { nonce: 1 } };
+            let open = Proposal {
+                session: SessionId(0),
+                sequence: Sequence(0),
+                command: Command::Open { nonce: 1 },
+            };
             assert_eq!(ledger.apply(Index(1), &open), Reply::Opened(SessionId(1)));
             Self { ledger, index: 1, session: SessionId(1), sequence: 0 }
         }
@@ -491,7 +499,10 @@
         fn again(&mut self, sequence: u64, command: &Command) -> Reply {
             self.index += 1;
             let sequence = Sequence(sequence);
-            self.ledger.apply(Index(self.index), &Proposal { session: self.session, sequence, command: command.clone() })
+            self.ledger.apply(
+                Index(self.index),
+                &Proposal { session: self.session, sequence, command: command.clone() },
+            )
         }
 
         fn go(&mut self, command: Command) -> Reply {
@@ -519,7 +530,8 @@
     #[test]
     fn the_first_decision_stands() {
         let mut run = Run::new();
-        let decide = |value: u8| Command::Decide { subject: Subject::new("condemned", 42), value: vec![value] };
+        let decide =
+            |value: u8| Command::Decide { subject: Subject::new("condemned", 42), value: vec![value] };
         assert_eq!(run.go(decide(1)), Reply::Decided { value: vec![1], first: true });
         assert_eq!(run.go(decide(2)), Reply::Decided { value: vec![1], first: false });
     }
@@ -542,10 +554,17 @@
         let mut run = Run::new();
         run.go(take(1, 0));
         assert_eq!(run.go(hand(1, 5)), Reply::Handed(Epoch(1)));
-        assert_eq!(run.go(take(2, 0)), Reply::Stale { current: Epoch(1) }, "two who both saw nobody: one wins");
+        assert_eq!(
+            run.go(take(2, 0)),
+            Reply::Stale { current: Epoch(1) },
+            "two who both saw nobody: one wins"
+        );
         assert_eq!(run.go(take(2, 1)), Reply::Granted(Epoch(2)));
         assert_eq!(run.go(hand(1, 6)), Reply::Stale { current: Epoch(2) });
-        assert_eq!(run.go(Command::Renew { role: orders(), epoch: Epoch(1) }), Reply::Stale { current: Epoch(2) });
+        assert_eq!(
+            run.go(Command::Renew { role: orders(), epoch: Epoch(1) }),
+            Reply::Stale { current: Epoch(2) }
+        );
         assert_eq!(run.go(settle(1, 5, false)), Reply::Stale { current: Epoch(2) });
     }
 
@@ -594,7 +613,11 @@
         run.go(take(1, 0));
         for n in 0..SESSIONS_MOST as u64 + 10 {
             run.index += 1;
-            let open = Proposal { session: SessionId(0), sequence: Sequence(0), command: Command::Open { nonce: n } };
+            let open = Proposal {
+                session: SessionId(0),
+                sequence: Sequence(0),
+                command: Command::Open { nonce: n },
+            };
             run.ledger.apply(Index(run.index), &open);
             if n % 100 == 0 {
                 assert_eq!(run.go(Command::Renew { role: orders(), epoch: Epoch(1) }), Reply::Done);
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`clerk`]: when an instance takes, renews, uses and leaves a grant;
 //! - [`desk`]: proposals and reads that wait for their answer;
 //! - [`members`]: changes of membership, one instance at a time;
+//! - [`proposer`]: a session that sends a command again until it is answered;
 //! - [`pieces`]: messages too long for one frame.
 
 pub mod clerk;
@@ -18,3 +19,4 @@
 pub mod members;
 pub mod node;
 pub mod pieces;
+pub mod proposer;
