The agent and the ledger's command line, with real processes frozen, killed and cut off

Need: the agreement has to run: instances that call each other, keep their state and serve fronts and operators.

Change: crates/agent (framed, versioned peers with a hello that refuses strangers and doubles; a core thread, a store thread, a local port with JSON; structured logs, counters) and crates/cli on clap with tables, JSON and exit codes. The trust in a build as a decider. Relays and agents as stand-ins.

--- /dev/null
+++ b/crates/agent/tests/processes.rs
@@ -0,0 +1,138 @@
+//! Real agents as processes: frozen, killed, cut off, their stores lost, while clients decide through all of them.
+
+#[path = "../examples/freeze/load.rs"]
+mod load;
+
+use std::path::Path;
+use std::time::Duration;
+
+use garnetcrank_standins::agents::{Cluster, Options, client, get, post, until};
+use load::Load;
+use serde_json::json;
+
+fn start(options: &Options) -> (tempfile::TempDir, Cluster) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let cluster = Cluster::start(Path::new(env!("CARGO_BIN_EXE_garnetcrank-agent")), folder.path(), options);
+    (folder, cluster)
+}
+
+fn decide(cluster: &Cluster, at: usize, number: u64, value: u8) -> serde_json::Value {
+    let command = json!({"command": {"Decide": {"subject": {"space": "s", "number": number}, "value": [value]}}, "within_ms": 3000});
+    post(&client(Duration::from_secs(5)), cluster.local(at), "/v1/propose", &command)
+        .map(|(_, v)| v)
+        .unwrap_or_default()
+}
+
+#[test]
+fn frozen_and_woken_leaders_make_no_double_decision() {
+    let (_folder, cluster) = start(&Options::default());
+    let load = Load::start(&cluster, 4);
+    for round in 0..20 {
+        let leader = cluster.leader().unwrap_or(round % 3);
+        cluster.freeze(leader);
+        // Some shorter than an election, some far longer than a grant's life.
+        std::thread::sleep(Duration::from_millis([40, 250, 700][round % 3]));
+        cluster.wake(leader);
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    let report = load.end(&cluster);
+    assert!(report.faults.is_empty(), "{:?}", report.faults);
+    assert!(report.decisions > 50, "{} decisions", report.decisions);
+    assert!(report.epochs > 1, "the role changed hands: {} epochs", report.epochs);
+}
+
+#[test]
+fn splits_and_kills_lose_nothing_that_was_acknowledged() {
+    let (_folder, mut cluster) = start(&Options { agents: 5, fold_every: 100, ..Options::default() });
+    let load = Load::start(&cluster, 4);
+    for round in 0..8 {
+        let (one, other) = (round % 5, (round + 2) % 5);
+        match round % 4 {
+            0 => cluster.isolate(cluster.leader().unwrap_or(0), true),
+            1 => (0..5).filter(|at| *at != one).for_each(|at| cluster.cut(one, at, true)),
+            2 => {
+                cluster.kill(one);
+                cluster.kill(other);
+            }
+            _ => {
+                cluster.isolate(one, true);
+                cluster.isolate(other, true);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(500));
+        (0..5).for_each(|at| cluster.isolate(at, false));
+        if round % 4 == 2 {
+            cluster.run(one);
+            cluster.run(other);
+        }
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let report = load.end(&cluster);
+    assert!(report.faults.is_empty(), "{:?}", report.faults);
+    assert!(report.decisions > 50, "{} decisions", report.decisions);
+}
+
+#[test]
+fn a_lost_store_comes_back_as_another_member_only_after_the_old_one_is_removed() {
+    let (_folder, mut cluster) = start(&Options::default());
+    assert_eq!(decide(&cluster, 0, 1, 7)["reply"]["Decided"]["first"], true);
+    cluster.kill(2);
+    cluster.lose_store(2);
+    cluster.run(2);
+    until("the hello of the wrong instance is refused", || cluster.log(0).contains("refused: this is n2"));
+    let status = get(&client(Duration::from_secs(2)), cluster.local(2), "/v1/status").expect("it answers").1;
+    assert_eq!(status["me"]["part"], "none", "it must not vote");
+    let me = &status["me"];
+    let add = json!({"add": {"id": me["id"], "name": me["name"], "address": me["address"]}});
+    assert!(!cluster.lead("/v1/members", &add), "its old self is a member still");
+    until("the old one is removed", || cluster.lead("/v1/members", &json!({"remove": "n2"})));
+    cluster.add(2);
+    until("it votes", || cluster.part(2) == "voter");
+    assert_eq!(decide(&cluster, 2, 1, 9)["reply"]["Decided"], json!({"value": [7], "first": false}));
+}
+
+#[test]
+fn without_a_quorum_callers_are_told_in_time_and_it_works_again_after() {
+    let (_folder, mut cluster) = start(&Options::default());
+    cluster.kill(1);
+    cluster.kill(2);
+    until("the last one leads no more", || cluster.status(0)["node"]["standing"] != "leader");
+    let began = std::time::Instant::now();
+    let answer = decide(&cluster, 0, 1, 1);
+    assert!(["not_proposed", "may_yet"].contains(&answer["result"].as_str().unwrap_or_default()), "{answer}");
+    assert!(began.elapsed() < Duration::from_secs(5));
+    let (code, _) = get(&client(Duration::from_secs(5)), cluster.local(0), "/v1/ledger?within_ms=300")
+        .expect("an answer");
+    assert_eq!(code, 503, "a read that may be stale is not passed for a fresh one");
+    let (code, _) =
+        get(&client(Duration::from_secs(5)), cluster.local(0), "/v1/ledger?stale=1").expect("an answer");
+    assert_eq!(code, 200);
+    cluster.run(1);
+    until("it decides again", || decide(&cluster, 0, 1, 1)["result"] == "applied");
+    assert!(cluster.stop(0) && cluster.stop(1), "told to stop they end well");
+}
+
+#[test]
+fn bad_requests_get_a_clear_error() {
+    let (_folder, cluster) = start(&Options { agents: 1, ..Options::default() });
+    let http = client(Duration::from_secs(3));
+    for (path, body, word) in [
+        ("/v1/propose", json!({"command": {"Decide": {"subject": {"space": "s"}, "value": []}}}), "number"),
+        ("/v1/propose", json!({}), "either"),
+        ("/v1/propose", json!({"commands": 1}), "commands"),
+        ("/v1/members", json!({"remove": "nobody"}), "nobody"),
+        ("/v1/members", json!({"add": {"id": "zz", "name": "x", "address": "127.0.0.1:1"}}), "zz"),
+        ("/v1/transfer", json!({"to": "n9"}), "n9"),
+        (
+            "/v1/verdicts",
+            json!({"front": "f", "opinion": {"build": 1, "stage": 0, "word": "maybe"}}),
+            "maybe",
+        ),
+        ("/v1/nothing", json!({}), "no such path"),
+    ] {
+        let (_, answer) = post(&http, cluster.local(0), path, &body).expect("an answer");
+        assert!(answer.to_string().contains(word), "{path} {body}: {answer}");
+    }
+    let (code, answer) = get(&http, cluster.local(0), "/v1/ledger/condemned/x").expect("an answer");
+    assert!(code == 400 && answer.to_string().contains("condemned/42"), "{answer}");
+}
--- a/crates/agreement/examples/handover/main.rs
+++ b/crates/agreement/examples/handover/main.rs
@@ -4,7 +4,6 @@
 //! violation it prints the seed and the shortest schedule found, and ends with 1.
 
 mod disk;
-mod history;
 mod world;
 
 use std::process::ExitCode;
--- a/crates/agreement/examples/handover/world.rs
+++ b/crates/agreement/examples/handover/world.rs
@@ -13,9 +13,9 @@
 use garnetcrank_agreement::members::Change;
 use garnetcrank_agreement::node::{self, Message, Node, Settings, Work};
 use garnetcrank_agreement::proposer::{Outcome, Proposer, Send};
+use garnetcrank_standins::history::History;
 
 use crate::disk::{Kind, SimDisk};
-use crate::history::History;
 
 /// Steps with faults; then all is healed.
 pub const TROUBLE: u64 = 240;
--- a/crates/agreement/src/ledger.rs
+++ b/crates/agreement/src/ledger.rs
@@ -22,7 +22,9 @@
 pub const ROLES_MOST: usize = 256;
 /// Spaces that have a floor.
 pub const SPACES_MOST: usize = 1024;
-/// Longest value of a decision, in bytes.
+/// Boards on which a member may have a notice.
+pub const BOARDS_MOST: usize = 64;
+/// Longest value of a decision or a notice, in bytes.
 pub const VALUE_MOST: usize = 4096;
 
 /// An instance that takes part.
@@ -98,6 +100,15 @@
         /// Whether it ran. If not, it may be handed out again: the gate lets no older epoch through any more.
         ran: bool,
     },
+    /// A member's notice on a board, in place of its last one: what it thinks at the moment, not a decision.
+    Post {
+        /// Whose.
+        from: InstanceId,
+        /// Which board.
+        board: String,
+        /// What it says; none takes it off.
+        value: Option<Vec<u8>>,
+    },
     /// Forget subjects of a space below a number; they can't be decided any more.
     Retire {
         /// The space.
@@ -184,6 +195,15 @@
     Ran(Epoch),
 }
 
+/// What a member has on a board.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// What it says.
+    pub value: Vec<u8>,
+    /// When it was last posted.
+    pub posted: Index,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Session {
     sequence: Sequence,
@@ -200,6 +220,7 @@
     roles: BTreeMap<Role, Grant>,
     sessions: BTreeMap<SessionId, Session>,
     members: BTreeMap<InstanceId, Member>,
+    notices: BTreeMap<String, BTreeMap<InstanceId, Notice>>,
 }
 
 impl Ledger {
@@ -255,6 +276,11 @@
         self.roles.iter()
     }
 
+    /// The members' notices on a board.
+    pub fn notices(&self, board: &str) -> impl Iterator<Item = (InstanceId, &Notice)> {
+        self.notices.get(board).into_iter().flatten().map(|(id, notice)| (*id, notice))
+    }
+
     /// The members, learners among them.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -275,6 +301,9 @@
     pub fn remove_member(&mut self, index: Index, id: InstanceId) {
         self.applied = index;
         self.members.remove(&id);
+        for board in self.notices.values_mut() {
+            board.remove(&id);
+        }
         for grant in self.roles.values_mut().filter(|grant| grant.holder == Some(id)) {
             grant.holder = None;
             grant.epoch.0 += 1;
@@ -337,6 +366,7 @@
             Command::Leave { role, epoch, to } => self.leave(index, role, *epoch, *to),
             Command::Hand { role, epoch, order } => self.hand(role, *epoch, order),
             Command::Settle { role, epoch, order, ran } => self.settle(role, *epoch, order, *ran),
+            Command::Post { from, board, value } => self.post(index, *from, board, value.as_deref()),
             Command::Retire { space, below } => self.retire(space, *below),
         }
     }
@@ -452,6 +482,27 @@
         }
     }
 
+    fn post(&mut self, index: Index, from: InstanceId, board: &str, value: Option<&[u8]>) -> Reply {
+        if !self.members.contains_key(&from) {
+            return Reply::Refused(format!("{from} is no member"));
+        }
+        if value.is_some_and(|value| value.len() > VALUE_MOST) || board.len() > 64 {
+            return Reply::Refused(format!("a notice has {VALUE_MOST} bytes at the most, a board's name 64"));
+        }
+        if !self.notices.contains_key(board) && self.notices.len() >= BOARDS_MOST {
+            return Reply::Full;
+        }
+        let notices = self.notices.entry(board.to_owned()).or_default();
+        match value {
+            Some(value) => drop(notices.insert(from, Notice { value: value.to_vec(), posted: index })),
+            None => drop(notices.remove(&from)),
+        }
+        if notices.is_empty() {
+            self.notices.remove(board);
+        }
+        Reply::Done
+    }
+
     fn retire(&mut self, space: &str, below: u64) -> Reply {
         let present = self.floors.get(space).copied();
         if present.is_none() && self.floors.len() >= SPACES_MOST {
@@ -583,6 +634,28 @@
         assert_eq!(run.go(hand(2, 6)), Reply::Ran(Epoch(1)));
     }
 
+    #[test]
+    fn a_notice_is_its_members_last_word_and_goes_with_it() {
+        let mut run = Run::new();
+        let post = |from, value: Option<u8>| Command::Post {
+            from: InstanceId(from),
+            board: "trust".into(),
+            value: value.map(|v| vec![v]),
+        };
+        assert_eq!(run.go(post(1, Some(1))), Reply::Done);
+        run.go(post(2, Some(2)));
+        run.go(post(1, Some(3)));
+        let held =
+            |run: &Run| run.ledger.notices("trust").map(|(id, n)| (id.0, n.value[0])).collect::<Vec<_>>();
+        assert_eq!(held(&run), [(1, 3), (2, 2)]);
+        run.go(post(1, None));
+        assert_eq!(held(&run), [(2, 2)]);
+        run.index += 1;
+        run.ledger.remove_member(Index(run.index), InstanceId(2));
+        assert!(held(&run).is_empty());
+        assert!(matches!(run.go(post(2, Some(1))), Reply::Refused(_)));
+    }
+
     #[test]
     fn what_is_retired_is_not_decided_again() {
         let mut run = Run::new();
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`desk`]: proposals and reads that wait for their answer;
 //! - [`members`]: changes of membership, one instance at a time;
 //! - [`proposer`]: a session that sends a command again until it is answered;
+//! - [`trust`]: what the fronts think of a build, and whose vote stands for all;
 //! - [`pieces`]: messages too long for one frame.
 
 pub mod clerk;
@@ -20,3 +21,4 @@
 pub mod node;
 pub mod pieces;
 pub mod proposer;
+pub mod trust;
--- a/crates/agreement/src/members.rs
+++ b/crates/agreement/src/members.rs
@@ -101,9 +101,10 @@
     }
 }
 
-/// A learner that may vote from now on: it lives and holds all but the last few entries.
+/// A learner that may vote from now on: it lives and holds all but the last few entries. One that holds nothing yet
+/// never does, however short the log: as a voter it would stand for a quorum that can't be had.
 pub(crate) fn caught_up(seen: &[Seen], last: u64, slack: u64) -> Option<InstanceId> {
-    seen.iter().find(|s| !s.votes && s.living && s.matched + slack >= last).map(|s| s.id)
+    seen.iter().find(|s| !s.votes && s.living && s.matched > 0 && s.matched + slack >= last).map(|s| s.id)
 }
 
 #[cfg(test)]
@@ -146,6 +147,7 @@
         let all = |living, matched| [seen(1, true, true, 100), seen(2, false, living, matched)];
         assert_eq!(caught_up(&all(true, 95), 100, 4), None);
         assert_eq!(caught_up(&all(false, 100), 100, 4), None);
+        assert_eq!(caught_up(&all(true, 0), 3, 4), None, "it holds nothing");
         assert_eq!(caught_up(&all(true, 96), 100, 4), Some(InstanceId(2)));
     }
 }
--- a/crates/agreement/src/node.rs
+++ b/crates/agreement/src/node.rs
@@ -578,7 +578,11 @@
         }
         let noted: Noted = postcard::from_bytes(&change.context).map_err(|e| unread(&e))?;
         match noted.change {
-            Change::Add(member) => self.ledger.add_member(index, member),
+            Change::Add(member) => {
+                self.ledger.add_member(index, member);
+                // The newcomer takes no snapshot that does not name it, and an older one is all there is yet.
+                self.fold_now();
+            }
             Change::Remove(id) => self.ledger.remove_member(index, id),
         }
         let (asker, run, ticket) = noted.asked;
--- a/crates/agreement/tests/handover.rs
+++ b/crates/agreement/tests/handover.rs
@@ -3,8 +3,6 @@
 
 #[path = "../examples/handover/disk.rs"]
 mod disk;
-#[path = "../examples/handover/history.rs"]
-mod history;
 #[path = "../examples/handover/world.rs"]
 mod world;
 
--- a/crates/agreement/tests/linear.rs
+++ b/crates/agreement/tests/linear.rs
@@ -1,9 +1,6 @@
 //! The quick check of histories against a general one that tries every order.
 
-#[path = "../examples/handover/history.rs"]
-mod history;
-
-use history::History;
+use garnetcrank_standins::history::History;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,3 +1,6 @@
 //! Stand-ins: devices and peers that misbehave on request, for the tests and benches of all packages.
 
+pub mod agents;
 pub mod disk;
+pub mod history;
+pub mod relay;
