The trust in a build goes through the agreement where a front has an agent

Need: a condemned build must be known to all fronts, also to one that starts, and one front casts for all.

With the agent away or frozen the front casts what it had said and goes on alone.

--- a/crates/agent/examples/freeze/main.rs
+++ b/crates/agent/examples/freeze/main.rs
@@ -22,7 +22,8 @@
     let program = std::env::current_exe().expect("this program has a path");
     let program = program.with_file_name("../garnetcrank-agent");
     let folder = tempfile::tempdir().expect("a folder");
-    let options = Options { agents, tick_ms: 5, election_ticks: 12, life_ms: 200, fold_every: 2_000 };
+    let options =
+        Options { agents, tick_ms: 5, election_ticks: 12, life_ms: 200, fold_every: 2_000, relays: true };
     let mut cluster = Cluster::start(&program, folder.path(), &options);
     let begun = Instant::now();
     let load = Load::start(&cluster, 6);
--- a/crates/agent/tests/processes.rs
+++ b/crates/agent/tests/processes.rs
@@ -112,6 +112,46 @@
     assert!(cluster.stop(0) && cluster.stop(1), "told to stop they end well");
 }
 
+/// What a front at each agent is told, until one line of any of them will do.
+fn told(
+    cluster: &Cluster,
+    within: &[usize],
+    what: &str,
+    will_do: impl Fn(&serde_json::Value) -> bool,
+) -> usize {
+    let watches: Vec<_> = within.iter().map(|at| (*at, cluster.watch(*at, &format!("front-{at}")))).collect();
+    let mut found = None;
+    until(what, || {
+        found =
+            watches.iter().find(|(_, lines)| lines.try_iter().any(|line| will_do(&line))).map(|(at, _)| *at);
+        found.is_some()
+    });
+    found.unwrap_or_default()
+}
+
+#[test]
+fn a_word_to_go_back_is_cast_by_one_front_for_all_and_by_another_when_its_agent_freezes() {
+    let (_folder, cluster) = start(&Options::default());
+    let http = client(Duration::from_secs(3));
+    let say = |at: usize| {
+        let said =
+            json!({"front": format!("front-{at}"), "opinion": {"build": 42, "stage": 1, "word": "back"}});
+        post(&http, cluster.local(at), "/v1/verdicts", &said).is_ok_and(|(_, answer)| answer["heard"] == true)
+    };
+    until("the verdict is passed on", || say(1));
+    let back =
+        |line: &serde_json::Value| line["cast"]["opinion"]["word"] == "back" && line["condemned"][0] == 42;
+    let caster = told(&cluster, &[0, 1, 2], "one front is told to cast", back);
+    cluster.freeze(caster);
+    let others: Vec<usize> = (0..3).filter(|at| *at != caster).collect();
+    until("the others have a leader", || say(others[0]));
+    let next = told(&cluster, &others, "another front is told to cast", back);
+    assert_ne!(next, caster);
+    cluster.wake(caster);
+    let off = |line: &serde_json::Value| line["cast"].is_null() && line["condemned"][0] == 42;
+    told(&cluster, &[caster], "the one that froze is told to cast no more", off);
+}
+
 #[test]
 fn bad_requests_get_a_clear_error() {
     let (_folder, cluster) = start(&Options { agents: 1, ..Options::default() });
--- /dev/null
+++ b/crates/ballots/src/lib.rs
@@ -0,0 +1,274 @@
+//! Where a front's verdicts go. While its agent is heard and reaches the others, they go there, and one front casts for
+//! all; else each front casts its own, exactly as it does without an agent. No I/O, no clock.
+//!
+//! What the `Brain` decides is never changed here. What all remember of a build is told to it only as a lower cap.
+
+use std::collections::BTreeSet;
+
+use garnetcrank::interface::{Ballot, Build, Micros, Phase, Stage, Verdict};
+
+/// A verdict on a build at a stage.
+pub type Vote = (Build, usize, Verdict);
+
+/// Whose vote it is that goes to the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The front's own decisions': they hear of its answer.
+    Own,
+    /// Cast for all, or again for want of an agent: the front's own decisions asked nothing and hear nothing but the
+    /// news that comes with the answer.
+    All,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Step {
+    /// Cast this at the platform.
+    Cast(Vote, Origin),
+    /// Tell the agent; its answer goes to [`Ballots::told`].
+    Tell(Vote),
+    /// The front's own decisions hear this of their vote.
+    Answer(Ballot),
+    /// The front's own decisions hear this of the newest build.
+    News(Stage),
+}
+
+/// What the agent says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Line {
+    /// Builds that are condemned.
+    pub condemned: BTreeSet<Build>,
+    /// This front casts for all; and what, if anybody says anything.
+    pub cast: Option<Option<Vote>>,
+    /// The agent reaches the others.
+    pub together: bool,
+}
+
+/// A front's ballots.
+#[derive(Debug, Default)]
+pub struct Ballots {
+    joined: bool,
+    own: Option<Vote>,
+    /// What this front has standing at the platform for all, and since when.
+    standing: Option<(Vote, Micros)>,
+    wanted: Option<Vote>,
+    condemned: BTreeSet<Build>,
+    stage: Option<(Stage, Micros)>,
+    life: Micros,
+}
+
+impl Ballots {
+    /// Ballots of a front whose votes stand at the platform for `life`.
+    pub fn new(life: Micros) -> Self {
+        Self { life, ..Self::default() }
+    }
+
+    /// Whether verdicts go to the agent.
+    pub fn joined(&self) -> bool {
+        self.joined
+    }
+
+    /// The front's own decisions vote.
+    pub fn votes(&mut self, vote: Vote) -> Step {
+        self.own = Some(vote);
+        if self.joined { Step::Tell(vote) } else { Step::Cast(vote, Origin::Own) }
+    }
+
+    /// The agent's answer to a verdict: whether it is passed on. No answer is none.
+    pub fn told(&mut self, vote: Vote, passed_on: bool) -> Option<Step> {
+        // Said again when the agent came back: the decisions have had their answer.
+        if self.own != Some(vote) {
+            return Some(Step::Answer(Ballot::Counted)).filter(|_| passed_on);
+        }
+        Some(if passed_on { Step::Answer(Ballot::Counted) } else { Step::Cast(vote, Origin::Own) })
+    }
+
+    /// The agent says something.
+    pub fn heard(&mut self, now: Micros, line: Line) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if line.condemned != self.condemned {
+            // Grows only: a build that all have condemned is not trusted again because an agent has lost its memory.
+            self.condemned.extend(line.condemned);
+            // Builds come in the order of their numbers; older ones than these are not offered again.
+            while self.condemned.len() > 256 {
+                self.condemned.pop_first();
+            }
+            if let Some((stage, since)) = self.stage {
+                let told = self.as_told(stage);
+                if told.cap != stage.cap {
+                    steps.push(Step::News(Stage { age: stage.age + now.saturating_sub(since), ..told }));
+                }
+            }
+        }
+        match (self.joined, line.together) {
+            (false, true) => {
+                self.joined = true;
+                // What was said while it was away is said to the others now.
+                steps.extend(self.own.filter(|vote| vote.2 != Verdict::None).map(Step::Tell));
+            }
+            (true, false) => steps.extend(self.part(now)),
+            _ => {}
+        }
+        if self.joined {
+            self.wanted = line.cast.flatten();
+            steps.extend(self.cast_wanted(now));
+        }
+        steps
+    }
+
+    /// The agent is not heard any more.
+    pub fn silent(&mut self, now: Micros) -> Vec<Step> {
+        self.part(now)
+    }
+
+    /// From here on this front is on its own: what its decisions have said, and believe to be counted, it casts now.
+    fn part(&mut self, now: Micros) -> Vec<Step> {
+        if !std::mem::take(&mut self.joined) {
+            return Vec::new();
+        }
+        self.wanted = None;
+        match self.own.filter(|vote| vote.2 != Verdict::None) {
+            Some(vote) => {
+                self.standing = None;
+                vec![Step::Cast(vote, Origin::All)]
+            }
+            None => self.cast_wanted(now).into_iter().collect(),
+        }
+    }
+
+    /// Whatever is due by now.
+    pub fn tend(&mut self, now: Micros) -> Option<Step> {
+        if self.joined { self.cast_wanted(now) } else { None }
+    }
+
+    /// Brings what stands at the platform for all in line with what is wanted there.
+    fn cast_wanted(&mut self, now: Micros) -> Option<Step> {
+        match (self.wanted, self.standing) {
+            (Some(wanted), Some((standing, since))) if wanted == standing && now < since + self.life / 2 => {
+                None
+            }
+            (Some(wanted), _) => {
+                self.standing = Some((wanted, now));
+                Some(Step::Cast(wanted, Origin::All))
+            }
+            // Another casts from here on, or nobody says anything: two votes for all would count as two instances.
+            (None, Some(((build, stage, _), since))) => {
+                self.standing = None;
+                let lapsed = now >= since + self.life;
+                (!lapsed).then_some(Step::Cast((build, stage, Verdict::None), Origin::All))
+            }
+            (None, None) => None,
+        }
+    }
+
+    /// News of the newest build, as the front's own decisions are told it.
+    pub fn news(&mut self, now: Micros, stage: Stage) -> Stage {
+        self.stage = Some((stage, now));
+        self.as_told(stage)
+    }
+
+    /// A build on trial that all have condemned gets nothing here, whatever share the platform still announces: a lower
+    /// cap breaks no rule. One that is released may be all there is, so its cap stands.
+    fn as_told(&self, stage: Stage) -> Stage {
+        let barred = stage.phase == Phase::Trial && self.condemned.contains(&stage.build);
+        Stage { cap: if barred { 0.0 } else { stage.cap }, ..stage }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    fn vote(build: u32, verdict: Verdict) -> Vote {
+        (Build(build), 1, verdict)
+    }
+
+    fn line(together: bool, cast: Option<Option<Vote>>) -> Line {
+        Line { condemned: BTreeSet::new(), cast, together }
+    }
+
+    fn stage(build: u32, phase: Phase, cap: f64) -> Stage {
+        Stage { build: Build(build), stage: 1, phase, cap, age: S }
+    }
+
+    #[test]
+    fn without_an_agent_every_vote_goes_to_the_platform_as_ever() {
+        let mut alone = Ballots::new(4 * S);
+        for verdict in [Verdict::Hold, Verdict::Back, Verdict::None] {
+            assert_eq!(alone.votes(vote(42, verdict)), Step::Cast(vote(42, verdict), Origin::Own));
+        }
+        assert_eq!((alone.tend(9 * S), alone.silent(9 * S)), (None, vec![]));
+        assert!(alone.heard(S, line(false, None)).is_empty(), "an agent that reaches nobody changes nothing");
+        assert_eq!(alone.votes(vote(42, Verdict::On)), Step::Cast(vote(42, Verdict::On), Origin::Own));
+    }
+
+    #[test]
+    fn with_an_agent_verdicts_go_to_the_others_and_one_front_casts_for_all() {
+        let mut front = Ballots::new(4 * S);
+        assert!(front.heard(S, line(true, None)).is_empty());
+        let hold = vote(42, Verdict::Hold);
+        assert_eq!(front.votes(hold), Step::Tell(hold));
+        assert_eq!(front.told(hold, true), Some(Step::Answer(Ballot::Counted)));
+        let cast = front.heard(2 * S, line(true, Some(Some(hold))));
+        assert_eq!(cast, [Step::Cast(hold, Origin::All)]);
+        assert!(front.heard(3 * S, line(true, Some(Some(hold)))).is_empty(), "it stands");
+        assert_eq!(front.tend(4 * S), Some(Step::Cast(hold, Origin::All)), "renewed before it lapses");
+        let off = vote(42, Verdict::None);
+        assert_eq!(front.heard(5 * S, line(true, None)), [Step::Cast(off, Origin::All)], "another casts now");
+        assert!(front.heard(6 * S, line(true, None)).is_empty());
+    }
+
+    #[test]
+    fn a_verdict_that_the_agent_does_not_pass_on_is_cast_at_once() {
+        let mut front = Ballots::new(4 * S);
+        front.heard(S, line(true, None));
+        let back = vote(42, Verdict::Back);
+        front.votes(back);
+        assert_eq!(front.told(back, false), Some(Step::Cast(back, Origin::Own)));
+        front.votes(vote(42, Verdict::None));
+        assert_eq!(front.told(back, false), None, "one that is not meant any more is not cast");
+    }
+
+    #[test]
+    fn an_agent_that_falls_silent_leaves_no_verdict_uncast() {
+        let mut front = Ballots::new(4 * S);
+        front.heard(S, line(true, None));
+        let hold = vote(42, Verdict::Hold);
+        front.votes(hold);
+        front.told(hold, true);
+        assert_eq!(front.silent(2 * S), [Step::Cast(hold, Origin::All)]);
+        assert!(front.silent(3 * S).is_empty(), "once");
+        assert_eq!(front.votes(hold), Step::Cast(hold, Origin::Own));
+        assert_eq!(
+            front.heard(4 * S, line(true, None)),
+            [Step::Tell(hold)],
+            "and said again when it is back"
+        );
+    }
+
+    #[test]
+    fn what_was_cast_for_others_is_taken_off_when_the_agent_falls_silent() {
+        let mut front = Ballots::new(4 * S);
+        front.heard(S, line(true, Some(Some(vote(42, Verdict::Back)))));
+        assert_eq!(front.silent(2 * S), [Step::Cast(vote(42, Verdict::None), Origin::All)]);
+        front.heard(3 * S, line(true, Some(Some(vote(42, Verdict::Back)))));
+        assert!(front.silent(9 * S).is_empty(), "it has lapsed by itself");
+    }
+
+    #[test]
+    fn a_condemned_build_on_trial_gets_nothing_and_a_released_one_keeps_its_cap() {
+        let mut front = Ballots::new(4 * S);
+        assert_eq!(front.news(S, stage(42, Phase::Trial, 0.2)).cap, 0.2);
+        let condemned = Line { condemned: BTreeSet::from([Build(42)]), ..line(true, None) };
+        let steps = front.heard(2 * S, condemned);
+        let Some(Step::News(told)) = steps.first() else { panic!("{steps:?}") };
+        assert_eq!((told.cap, told.age), (0.0, 2 * S));
+        assert_eq!(front.news(3 * S, stage(42, Phase::Trial, 0.6)).cap, 0.0);
+        assert_eq!(front.news(4 * S, stage(42, Phase::Released, 1.0)).cap, 1.0);
+        assert_eq!(front.news(5 * S, stage(43, Phase::Trial, 0.05)).cap, 0.05);
+        assert!(front.heard(6 * S, line(true, None)).is_empty());
+        assert_eq!(front.news(7 * S, stage(42, Phase::Trial, 0.6)).cap, 0.0, "it stays condemned");
+    }
+}
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -89,6 +89,10 @@
     votes,
     /// Votes that counted.
     votes_counted,
+    /// Verdicts that the agent passed on to the others.
+    verdicts_passed_on,
+    /// Connections to the agent made anew.
+    agent_reconnects,
     /// News that was older than what was known.
     stale_news,
     /// Times the configuration was read again.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,6 +4,7 @@
 
 use calloop::Readiness;
 use garnetcrank::interface::*;
+use garnetcrank_ballots::{Origin, Step, Vote};
 use garnetcrank_http::{Bad, Headers};
 use rustix::process::{Resource, getrlimit};
 use tracing::{info, warn};
@@ -13,6 +14,8 @@
 use crate::counters::{Counters, resources};
 use crate::discovery::{Discovery, FleetNews};
 use crate::driver::{Command, Driver};
+use crate::extras::Extras;
+use crate::link::{self, Link};
 use crate::machines::{self, Job, Machines};
 use crate::phase::{Change, Life};
 use crate::platform::Platform;
@@ -54,6 +57,8 @@
     machines: Machines,
     discovery: Discovery,
     platform: Platform,
+    /// To the agent on this machine, where the instances may talk to each other.
+    link: Option<Link>,
     driver: Driver,
     life: Life,
     counters: Counters,
@@ -72,7 +77,7 @@
 
 impl Front {
     /// Opens the listening socket and tells the decisions what is known.
-    pub fn new(handle: Handle, process: Process) -> io::Result<Self> {
+    pub fn new(handle: Handle, process: Process, extras: &Extras) -> io::Result<Self> {
         let clock = Clock::start();
         let now = clock.now();
         let fixed = Fixed::of(&process);
@@ -80,7 +85,8 @@
         // The system's own limit may be below the one told.
         let system = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         let sockets = sockets.min(usize::try_from(system).unwrap_or(usize::MAX));
-        let descriptors = sockets.saturating_sub(RESERVED).max(8);
+        let linked = if extras.agreement.is_some() { link::DESCRIPTORS } else { 0 };
+        let descriptors = sockets.saturating_sub(RESERVED + linked).max(8);
         let crowd = descriptors / CROWD + 1;
         // A held request takes its client's connection and one to a machine.
         let most_held = settings.transport.most_held.unwrap_or(usize::MAX).min((descriptors - crowd) / 2);
@@ -92,6 +98,10 @@
             machines: Machines::new(settings.transport.clone()),
             discovery: Discovery::new(process.discovery, &settings),
             platform: Platform::new(process.platform, settings.config.rollout.vote_wait),
+            link: extras
+                .agreement
+                .as_ref()
+                .map(|a| Link::new(a, &process.name, settings.config.rollout.vote_life)),
             driver: Driver::new(process.seed, &settings),
             handle,
             ids: ConnIds::default(),
@@ -146,7 +156,7 @@
             }
         }
         let order = |who: &Who| match who {
-            Who::Discovery(_) | Who::Platform(_) => 0,
+            Who::Discovery(_) | Who::Platform(_) | Who::Agent(_) => 0,
             Who::Machine(_) => 1,
             Who::Client(_) | Who::Listener => 2,
         };
@@ -203,6 +213,28 @@
         self.fleet(news);
         let events = self.platform.tend(&self.handle, &mut self.ids, now);
         self.staged(events);
+        if let Some(link) = &mut self.link {
+            let steps = link.tend(&self.handle, &mut self.ids, now);
+            self.ballots(steps, now);
+        }
+    }
+
+    /// Carries out what the link leaves to the platform and to the decisions.
+    fn ballots(&mut self, steps: Vec<Step>, now: Micros) {
+        for step in steps {
+            match step {
+                Step::Cast(vote, origin) => self.cast(vote, origin, now),
+                Step::Answer(ballot) => self.driver.event(Event::Voted(ballot, None)),
+                Step::News(stage) => self.driver.news(Event::Stage(stage)),
+                Step::Tell(_) => {} // sent by the link itself
+            }
+        }
+    }
+
+    fn cast(&mut self, vote: Vote, origin: Origin, now: Micros) {
+        self.counters.votes += 1;
+        let event = self.platform.vote(&self.handle, &mut self.ids, now, vote, origin);
+        event.into_iter().for_each(|e| self.driver.event(e));
     }
 
     fn ready(&mut self, who: Who, readiness: Readiness, now: Micros) {
@@ -215,6 +247,11 @@
                 let events = self.platform.ready(id, readiness, now);
                 self.staged(events);
             }
+            Who::Agent(id) => {
+                let Some(link) = &mut self.link else { return };
+                let steps = link.ready(&self.handle, &mut self.ids, id, readiness, now);
+                self.ballots(steps, now);
+            }
             Who::Machine(id) => self.machines.ready(id, readiness, now, &mut self.machine_notes),
             Who::Client(id) => self.clients.ready(id, readiness, now, &mut self.client_notes),
             Who::Listener => self.clients.waiting = true,
@@ -231,6 +268,13 @@
     fn staged(&mut self, events: Vec<Event>) {
         for event in events {
             self.counters.votes_counted += u64::from(matches!(event, Event::Voted(Ballot::Counted, _)));
+            let event = match (event, &mut self.link) {
+                (Event::Stage(stage), Some(link)) => Event::Stage(link.news(self.clock.now(), stage)),
+                (Event::Voted(ballot, Some(stage)), Some(link)) => {
+                    Event::Voted(ballot, Some(link.news(self.clock.now(), stage)))
+                }
+                (event, _) => event,
+            };
             self.driver.news(event);
         }
     }
@@ -503,11 +547,13 @@
                 let news = self.discovery.ask(&self.handle, &mut self.ids, now);
                 self.fleet(news);
             }
-            Command::Vote(build, stage, verdict) => {
-                self.counters.votes += 1;
-                let event = self.platform.vote(&self.handle, &mut self.ids, now, (build, stage, verdict));
-                event.into_iter().for_each(|e| self.driver.event(e));
-            }
+            Command::Vote(build, stage, verdict) => match &mut self.link {
+                None => self.cast((build, stage, verdict), Origin::Own, now),
+                Some(link) => {
+                    let steps = link.votes(&self.handle, &mut self.ids, now, (build, stage, verdict));
+                    self.ballots(steps, now);
+                }
+            },
             Command::Log(words) => info!("{words}"),
         }
     }
@@ -544,6 +590,9 @@
         c.discovery_reconnects = self.discovery.reconnects;
         c.idle_clients_closed = self.clients.idle_closed;
         (c.platform_reconnects, c.stale_news) = (self.platform.reconnects, self.platform.stale);
+        if let Some(link) = &self.link {
+            (c.verdicts_passed_on, c.agent_reconnects) = (link.passed_on, link.reconnects);
+        }
         let (memory_kib, cpu_ms) = resources();
         info!("{c} peak_memory_kib={memory_kib} cpu_ms={cpu_ms}");
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -8,7 +8,9 @@
 mod discovery;
 mod driver;
 mod exchange;
+mod extras;
 mod front;
+mod link;
 mod logs;
 mod machines;
 mod phase;
@@ -18,12 +20,15 @@
 mod request;
 mod watch;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
+use clap::Parser;
 use tracing::error;
 
+use extras::Extras;
 use front::Front;
 use process::Process;
 use ready::{Asked, Ready};
@@ -31,7 +36,17 @@
 /// Exit code for a configuration that is missing or wrong.
 const CONFIGURATION: u8 = 2;
 
+/// A front: stands between clients and machines. `RELAY_CONFIG` names its configuration.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// Features beside the platform's file, in a file of their own.
+    #[arg(long)]
+    extras: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
+    let arguments = Arguments::parse();
     logs::start();
     let process = match Process::read(|name| std::env::var(name).ok()) {
         Ok(process) => process,
@@ -40,7 +55,16 @@
             return ExitCode::from(CONFIGURATION);
         }
     };
-    match run(process) {
+    let extras =
+        arguments.extras.map_or(Ok(Extras::default()), |path| Extras::read(&path, &process.settings));
+    let extras = match extras {
+        Ok(extras) => extras,
+        Err(message) => {
+            error!("extras: {message}");
+            return ExitCode::from(CONFIGURATION);
+        }
+    };
+    match run(process, &extras) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             error!("{message}");
@@ -49,7 +73,7 @@
     }
 }
 
-fn run(process: Process) -> Result<(), String> {
+fn run(process: Process, extras: &Extras) -> Result<(), String> {
     let mut event_loop: EventLoop<'static, Ready> =
         EventLoop::try_new().map_err(|e| format!("the event loop can't be made: {e}"))?;
     let handle = event_loop.handle();
@@ -64,7 +88,7 @@
     };
     handle.insert_source(signals, noted).map_err(|e| format!("signals can't be watched: {e}"))?;
     let listen = process.listen;
-    let mut front = Front::new(handle, process).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let mut front = Front::new(handle, process, extras).map_err(|e| format!("listen: {listen}: {e}"))?;
     let mut ready = Ready::default();
     while !front.stopped() {
         event_loop.dispatch(front.wait(), &mut ready).map_err(|e| format!("the event loop broke: {e}"))?;
--- a/crates/front/src/platform.rs
+++ b/crates/front/src/platform.rs
@@ -4,6 +4,7 @@
 
 use calloop::Readiness;
 use garnetcrank::interface::*;
+use garnetcrank_ballots::{Origin, Vote};
 use serde::{Deserialize, Serialize};
 use tracing::warn;
 
@@ -85,7 +86,7 @@
 pub struct Platform {
     address: SocketAddr,
     watch: Watch,
-    votes: Vec<Call>,
+    votes: Vec<(Call, Origin)>,
     vote_wait: Micros,
     known: Option<(State, Micros)>, // with the moment when it came to stand so
     unread: bool,
@@ -139,7 +140,8 @@
         handle: &Handle,
         ids: &mut ConnIds,
         now: Micros,
-        vote: (Build, usize, Verdict),
+        vote: Vote,
+        origin: Origin,
     ) -> Option<Event> {
         let (build, stage, verdict) = vote;
         let ruling = match verdict {
@@ -160,12 +162,12 @@
         };
         match started {
             Ok(call) => {
-                self.votes.push(call);
+                self.votes.push((call, origin));
                 None
             }
             Err(e) => {
                 warn!("platform: a vote could not be sent: {e}");
-                Some(Event::Voted(Ballot::Failed, None))
+                (origin == Origin::Own).then_some(Event::Voted(Ballot::Failed, None))
             }
         }
     }
@@ -175,21 +177,21 @@
         let lost = self.watch.tend(handle, ids, Who::Platform, now, || "/events".to_owned());
         self.reconnects += u64::from(lost);
         let mut ends = Vec::new();
-        self.votes.retain(|vote| {
+        self.votes.retain(|(vote, origin)| {
             let end = vote.late(now);
             let goes_on = end.is_none();
-            ends.extend(end);
+            ends.extend(end.map(|end| (end, *origin)));
             goes_on
         });
-        ends.into_iter().map(|end| self.voted(end, now)).collect()
+        ends.into_iter().filter_map(|(end, origin)| self.answered(end, origin, now)).collect()
     }
 
     /// Takes what has come on one of its connections.
     pub fn ready(&mut self, id: ConnId, readiness: Readiness, now: Micros) -> Vec<Event> {
-        if let Some(at) = self.votes.iter().position(|v| v.id == id) {
-            let Some(end) = self.votes[at].ready(readiness) else { return Vec::new() };
-            self.votes.remove(at);
-            return vec![self.voted(end, now)];
+        if let Some(at) = self.votes.iter().position(|(vote, _)| vote.id == id) {
+            let Some(end) = self.votes[at].0.ready(readiness) else { return Vec::new() };
+            let (_, origin) = self.votes.remove(at);
+            return self.answered(end, origin, now).into_iter().collect();
         }
         let heard = self.watch.ready(id, readiness, now);
         self.reconnects += u64::from(heard.lost);
@@ -223,6 +225,14 @@
         }
     }
 
+    /// The end of a vote, as far as the decisions hear of it: of one that they did not cast, the news alone.
+    fn answered(&mut self, end: CallEnd, origin: Origin, now: Micros) -> Option<Event> {
+        match (self.voted(end, now), origin) {
+            (Event::Voted(_, stage), Origin::All) => stage.map(Event::Stage),
+            (event, _) => Some(event),
+        }
+    }
+
     fn voted(&mut self, end: CallEnd, now: Micros) -> Event {
         let response = match end {
             CallEnd::Answer(response) => response,
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -20,6 +20,8 @@
     Discovery(ConnId),
     /// A connection to the platform.
     Platform(ConnId),
+    /// A connection to the agent on this machine.
+    Agent(ConnId),
 }
 
 /// A process signal that the front answers.
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -1,5 +1,6 @@
 //! The whole program on loopback, between small stand-ins for clients, machines, discovery and the platform.
 
+mod agreement;
 mod stand_ins;
 
 use std::net::{SocketAddr, TcpListener};
@@ -44,6 +45,22 @@
     output
 }
 
+/// The same on a file of extras beside a whole configuration.
+fn refuses_with(extras: &str) -> Output {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let (path, extras) = (config_file(&plan.config(free_address())), config_file(extras));
+    let output = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
+        .env_clear()
+        .env("RELAY_CONFIG", &path)
+        .arg("--extras")
+        .arg(&extras)
+        .output()
+        .expect("the program runs");
+    let _ = (std::fs::remove_file(path), std::fs::remove_file(extras));
+    output
+}
+
 #[test]
 fn a_calm_exchange_passes_everything_through_unchanged() {
     let machine = Machine::start(ok("an answer\0with any bytes"));
--- a/crates/front/tests/stand_ins/mod.rs
+++ b/crates/front/tests/stand_ins/mod.rs
@@ -316,6 +316,9 @@
     if message.first.starts_with("POST") {
         state.votes.push(String::from_utf8_lossy(&message.body).into_owned());
         let (status, body) = state.vote_answer.clone();
+        if status == 0 {
+            return state.streams.push(stream); // open, and never answered
+        }
         let _ = stream.write_all(&answer(status, "", body.as_bytes()));
     } else if !state.silent {
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -360,6 +363,8 @@
     pub sockets: usize,
     pub settings: serde_json::Value,
     pub listen: Option<SocketAddr>,
+    /// Text of a file of extras.
+    pub extras: Option<String>,
 }
 
 impl Plan {
@@ -373,6 +378,7 @@
             sockets: 1024,
             settings: serde_json::from_str(include_str!("../settings.json")).expect("JSON"),
             listen: None,
+            extras: None,
         }
     }
 
@@ -415,10 +421,12 @@
     pub fn start_with(plan: &Plan, more: &[(&str, &str)]) -> Running {
         let address = plan.listen.unwrap_or_else(free_address);
         let config = config_file(&plan.config(address));
+        let extras = plan.extras.as_ref().map(|text| config_file(text));
         let mut child = Command::new(env!("CARGO_BIN_EXE_garnetcrank-front"))
             .env_clear()
             .env("RELAY_CONFIG", &config)
             .envs(more.iter().copied())
+            .args(extras.iter().flat_map(|path| ["--extras".into(), path.clone().into_os_string()]))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
--- a/crates/standins/src/agents.rs
+++ b/crates/standins/src/agents.rs
@@ -2,9 +2,10 @@
 //! and start again.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -25,11 +26,13 @@
     pub life_ms: u64,
     /// Entries before a fold.
     pub fold_every: u64,
+    /// Whether a relay stands in each direction between two.
+    pub relays: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { agents: 3, tick_ms: 10, election_ticks: 15, life_ms: 600, fold_every: 500 }
+        Self { agents: 3, tick_ms: 10, election_ticks: 15, life_ms: 600, fold_every: 500, relays: true }
     }
 }
 
@@ -48,8 +51,13 @@
     http: ureq::Agent,
 }
 
-fn free_port() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// A loopback address of an agent's own, from this process's number and a count: a free port asked of the system may
+/// be given away again before the agent takes it.
+fn address(port: u16) -> SocketAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let (process, count) = (std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let [_, _, high, low] = process.to_be_bytes();
+    SocketAddr::from(([127, 1 + high % 250, low, u8::try_from(count % 256).unwrap_or(0)], port))
 }
 
 /// A client that waits so long at the most, and takes any status for an answer.
@@ -101,17 +109,19 @@
     /// It does not come up.
     pub fn start(program: &Path, folder: &Path, options: &Options) -> Self {
         let count = options.agents;
-        let peers: Vec<SocketAddr> = (0..count).map(|_| free_port().expect("a free port")).collect();
+        let peers: Vec<SocketAddr> = (0..count).map(|_| address(7001)).collect();
         let agents = (0..count)
             .map(|at| {
-                let way = |to: usize| (to != at).then(|| Relay::start(peers[to]).expect("a relay"));
+                let way = |to: usize| {
+                    (options.relays && to != at).then(|| Relay::start(peers[to]).expect("a relay"))
+                };
                 let ways: Vec<Option<Relay>> = (0..count).map(way).collect();
                 let via: serde_json::Map<String, Value> = (ways.iter().enumerate())
                     .filter_map(|(to, way)| {
                         Some((format!("n{to}"), json!(way.as_ref()?.address().to_string())))
                     })
                     .collect();
-                let local = free_port().expect("a free port");
+                let local = SocketAddr::new(peers[at].ip(), 7101);
                 let config = folder.join(format!("n{at}.json"));
                 let text = json!({
                     "name": format!("n{at}"), "cluster": "test", "store": folder.join(format!("n{at}.redb")),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -298,7 +298,7 @@
 }
 
 /// What the platform says of the newest build.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Stage {
     /// The newest build.
     pub build: Build,
