--- a/crates/agent/examples/measure/main.rs
+++ b/crates/agent/examples/throughput/main.rs
@@ -1,7 +1,7 @@
 //! Decisions a second and their latency at 3 and 5 real agents with real syncs, and the time without a leader after a
 //! kill and after a freeze.
 //!
-//! `cargo run --release --locked -p garnetcrank-agent --example measure -- [--seconds S] [--times N]`, after
+//! `cargo run --release --locked -p garnetcrank-agent --example throughput -- [--seconds S] [--times N]`, after
 //! `cargo build --release -p garnetcrank-agent`, prints two tables.
 
 use std::net::SocketAddr;
@@ -44,13 +44,21 @@
     times
 }
 
+/// The largest of the agents, in MiB.
+fn resident(cluster: &Cluster) -> f64 {
+    (0..cluster.len()).map(|at| cluster.resident_kib(at) as f64 / 1024.0).fold(0.0, f64::max)
+}
+
 fn throughput(program: &Path, seconds: u64) {
-    println!("| agents | clients | decisions a second | p50, ms | p99, ms | p99.9, ms |");
-    println!("| --- | --- | --- | --- | --- | --- |");
+    println!(
+        "| agents | clients | decisions a second | p50, ms | p99, ms | p99.9, ms | resident at rest, after, MiB |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
     for agents in [3, 5] {
         for clients in [1, 16, 64] {
             let folder = tempfile::tempdir().expect("a folder");
             let cluster = Cluster::start(program, folder.path(), &options(agents));
+            let rest = resident(&cluster);
             let stop = Arc::new(AtomicBool::new(false));
             let begun = Instant::now();
             let run = |number: usize| {
@@ -65,10 +73,11 @@
             let rate = all.len() as f64 / begun.elapsed().as_secs_f64();
             let at = |quantile| all.value_at_quantile(quantile) as f64 / 1e3;
             println!(
-                "| {agents} | {clients} | {rate:.0} | {:.2} | {:.2} | {:.2} |",
+                "| {agents} | {clients} | {rate:.0} | {:.2} | {:.2} | {:.2} | {rest:.1}, {:.1} |",
                 at(0.5),
                 at(0.99),
-                at(0.999)
+                at(0.999),
+                resident(&cluster)
             );
         }
     }
--- a/crates/agent/tests/processes.rs
+++ b/crates/agent/tests/processes.rs
@@ -91,6 +91,34 @@
     assert_eq!(decide(&cluster, 2, 1, 9)["reply"]["Decided"], json!({"value": [7], "first": false}));
 }
 
+#[test]
+fn a_snapshot_beyond_one_frame_reaches_a_newcomer_in_pieces() {
+    let (_folder, mut cluster) = start(&Options { fold_every: 100, ..Options::default() });
+    cluster.kill(2);
+    let http = client(Duration::from_secs(5));
+    let (from, count) = (cluster.local(0), 700);
+    std::thread::scope(|threads| {
+        for part in 0..7 {
+            let http = http.clone();
+            threads.spawn(move || {
+                for number in (0..count).filter(|n| n % 7 == part) {
+                    let subject = json!({"space": "large", "number": number});
+                    let decide = json!({"Decide": {"subject": subject, "value": vec![7; 4096]}});
+                    let body = json!({"command": decide, "within_ms": 4000});
+                    let (_, answer) = post(&http, from, "/v1/propose", &body).expect("an answer");
+                    assert_eq!(answer["result"], "applied", "{answer}");
+                }
+            });
+        }
+    });
+    cluster.lose_store(2);
+    until("the old one is removed", || cluster.lead("/v1/members", &json!({"remove": "n2"})));
+    cluster.run(2);
+    cluster.add(2);
+    until("it votes", || cluster.part(2) == "voter");
+    until("it holds all", || cluster.status(2)["subjects"] == count);
+}
+
 #[test]
 fn without_a_quorum_callers_are_told_in_time_and_it_works_again_after() {
     let (_folder, mut cluster) = start(&Options::default());
--- a/crates/agreement/examples/handover/world.rs
+++ b/crates/agreement/examples/handover/world.rs
@@ -11,7 +11,7 @@
 use garnetcrank_agreement::ids::*;
 use garnetcrank_agreement::ledger::{Command, Member, Proposal, Reply, Standing};
 use garnetcrank_agreement::members::Change;
-use garnetcrank_agreement::node::{self, Message, Node, Settings, Work};
+use garnetcrank_agreement::node::{self, Message, Node, Room, Settings, Work};
 use garnetcrank_agreement::proposer::{Outcome, Proposer, Send};
 use garnetcrank_standins::history::History;
 
@@ -60,6 +60,8 @@
     Jump(usize, u64),
     /// Writes take so many steps.
     Slow(usize, u64, u64),
+    /// The disk takes only what must be kept to stay safe.
+    Full(usize, u64),
     /// Of a hundred messages: lost, doubled, very late.
     Noise(u8, u8, u8, u64),
     /// The lead is handed over.
@@ -82,7 +84,7 @@
         let bits = rng.u32(1..(1 << instances) - 1);
         plan.push((
             at,
-            match rng.u8(0..14) {
+            match rng.u8(0..15) {
                 // Some shorter than an election, some that overlap, some longer than a grant's life.
                 0..=3 => Fault::Freeze(who, long),
                 4 | 5 => Fault::Crash(who, long),
@@ -92,7 +94,8 @@
                 9 => Fault::Clock(who, *rng.choice(&[0, 2, 5]).unwrap_or(&0), long),
                 10 => Fault::Jump(who, long),
                 11 => Fault::Slow(who, rng.u64(2..12), long),
-                12 => Fault::Noise(rng.u8(0..40), rng.u8(0..30), rng.u8(0..20), long),
+                12 => Fault::Full(who, long),
+                13 => Fault::Noise(rng.u8(0..40), rng.u8(0..30), rng.u8(0..20), long),
                 _ if rng.bool() => Fault::Transfer(who),
                 _ => Fault::Wipe(who, long),
             },
@@ -195,6 +198,7 @@
     inbox: Vec<Load>,
     rate: (u8, u64),
     slow: (u64, u64),
+    full_until: u64,
     wiped: bool,
 }
 
@@ -296,6 +300,7 @@
                     inbox: Vec::new(),
                     rate: (1, 0),
                     slow: (0, 0),
+                    full_until: 0,
                     wiped: false,
                 }
             })
@@ -371,6 +376,7 @@
                 }
             }
             Fault::Slow(who, steps, long) => self.instances[who].slow = (steps, now + long),
+            Fault::Full(who, long) => self.instances[who].full_until = now + long,
             Fault::Noise(lost, doubled, late, long) => self.noise = (lost, doubled, late, now + long),
             Fault::Transfer(to) => {
                 let id = self.instances[to].id;
@@ -429,6 +435,7 @@
             instance.down_until = 0;
             instance.rate = (1, 0);
             instance.slow = (0, 0);
+            instance.full_until = 0;
         }
     }
 
@@ -537,6 +544,7 @@
         for _ in 0..ticks {
             running.node.tick();
         }
+        running.node.set_room(if instance.full_until > now { Room::Scarce } else { Room::Enough });
         for load in std::mem::take(&mut instance.inbox) {
             match load {
                 Load::Peer(message) => running.node.receive(*message),
--- a/crates/agreement/examples/measure.rs
+++ b/crates/agreement/examples/recovery.rs
@@ -1,6 +1,6 @@
 //! What recovery costs by the length of the log, and whether memory stays flat over an hour of virtual load.
 //!
-//! `cargo run --release --locked -p garnetcrank-agreement --example measure` prints two tables.
+//! `cargo run --release --locked -p garnetcrank-agreement --example recovery` prints two tables.
 
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/crates/agreement/tests/handover.rs
+++ b/crates/agreement/tests/handover.rs
@@ -93,6 +93,36 @@
     all_sound(3, |_| (0..3).map(|n| (30, Fault::Slow(n, 12, 200))).collect());
 }
 
+#[test]
+fn disks_that_are_full_take_nothing_new_and_lose_nothing() {
+    all_sound(3, |seed| vec![(30, Fault::Full(seed as usize % 3, 190)), (90, Fault::Crash(1, 30))]);
+    // All of them at once: nothing is decided until one has room again.
+    all_sound(3, |_| (0..3).map(|n| (60, Fault::Full(n, 60 + 20 * n as u64))).collect());
+}
+
+#[test]
+fn crashes_while_a_snapshot_is_installed_or_a_member_added() {
+    // The newcomer's disk is slow, so that it is cut off in the midst of what it is sent first, at any step of it.
+    all_sound(3, |seed| {
+        let who = seed as usize % 3;
+        vec![
+            (40, Fault::Wipe(who, 5)),
+            (44, Fault::Slow(who, 9, 100)),
+            (70 + 3 * seed, Fault::Crash(who, 10)),
+        ]
+    });
+    // A member far behind, whose log has been folded away, crashes while it catches up.
+    all_sound(3, |seed| {
+        let who = (seed as usize + 1) % 3;
+        vec![
+            (30, Fault::Crash(who, 90)),
+            (118, Fault::Slow(who, 6, 60)),
+            (122 + seed, Fault::Crash(who, 5)),
+            (140 + seed, Fault::Crash(who, 5)),
+        ]
+    });
+}
+
 #[test]
 fn an_instance_whose_disk_is_lost_comes_back_as_another_member() {
     all_sound(3, |seed| vec![(40, Fault::Wipe(seed as usize % 3, 10))]);
--- /dev/null
+++ b/crates/agreement/tests/ledger.rs
@@ -0,0 +1,144 @@
+//! Random commands, copies and late copies of them, against the ledger's promises.
+
+use std::collections::BTreeMap;
+
+use garnetcrank_agreement::ids::{Epoch, Index, InstanceId, Role, Sequence, SessionId, Subject};
+use garnetcrank_agreement::ledger::{Command, Ledger, Member, Proposal, Reply, Standing};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn role() -> Role {
+    Role("orders".into())
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let (instance, epoch, number) = (1u64..4, 0u64..5, 0u64..6);
+    let order = |number| Subject::new("order", number);
+    prop_oneof![
+        (number.clone(), any::<u8>())
+            .prop_map(|(n, v)| Command::Decide { subject: Subject::new("subject", n), value: vec![v] }),
+        (instance.clone(), epoch.clone()).prop_map(|(holder, expect)| Command::Take {
+            role: role(),
+            holder: InstanceId(holder),
+            expect: Epoch(expect),
+            life: 10,
+        }),
+        epoch.clone().prop_map(|e| Command::Renew { role: role(), epoch: Epoch(e) }),
+        (epoch.clone(), prop::option::of(instance.clone())).prop_map(|(e, to)| Command::Leave {
+            role: role(),
+            epoch: Epoch(e),
+            to: to.map(InstanceId),
+        }),
+        (epoch.clone(), number.clone()).prop_map(move |(e, n)| Command::Hand {
+            role: role(),
+            epoch: Epoch(e),
+            order: order(n)
+        }),
+        (epoch, number.clone(), any::<bool>()).prop_map(move |(e, n, ran)| Command::Settle {
+            role: role(),
+            epoch: Epoch(e),
+            order: order(n),
+            ran,
+        }),
+        (instance, prop::option::of(any::<u8>())).prop_map(|(from, value)| Command::Post {
+            from: InstanceId(from),
+            board: "board".into(),
+            value: value.map(|v| vec![v]),
+        }),
+        (prop_oneof![Just("subject"), Just("order")], number)
+            .prop_map(|(space, below)| Command::Retire { space: space.into(), below }),
+    ]
+}
+
+/// A command of one of three sessions: new, or a copy of the one so many before.
+fn steps() -> impl Strategy<Value = Vec<(usize, Command, Option<usize>)>> {
+    prop::collection::vec((0usize..3, command(), prop::option::weighted(0.3, 0usize..4)), 1..80)
+}
+
+fn founded() -> Ledger {
+    let member = |id| Member { id: InstanceId(id), name: format!("n{id}"), address: String::new() };
+    let mut ledger = Ledger::founded((1..=3).map(member));
+    for index in 1..=3 {
+        let command = Command::Open { nonce: index };
+        ledger.apply(Index(index), &Proposal { session: SessionId(0), sequence: Sequence(0), command });
+    }
+    ledger
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(16),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn decisions_stand_epochs_grow_and_copies_change_nothing(steps in steps()) {
+        let (mut ledger, mut twin) = (founded(), founded());
+        let mut sent: [Vec<(Proposal, Reply)>; 3] = Default::default();
+        let mut decided: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
+        let (mut floors, mut handed_under): (BTreeMap<String, u64>, BTreeMap<u64, Epoch>) = Default::default();
+        let mut index = 3;
+        for (session, command, copy_of) in steps {
+            index += 1;
+            let before = ledger.clone();
+            let epoch_before = ledger.grant(&role()).map_or(Epoch(0), |g| g.epoch);
+            if let Some(back) = copy_of {
+                let Some(at) = sent[session].len().checked_sub(back + 1) else { continue };
+                let (proposal, first) = sent[session][at].clone();
+                let reply = ledger.apply(Index(index), &proposal);
+                twin.apply(Index(index), &proposal);
+                // The last one's copy gets its reply, older ones' are told that they come too late.
+                prop_assert_eq!(&reply, if back == 0 { &first } else { &Reply::Overtaken });
+                prop_assert_eq!(ledger.grant(&role()), before.grant(&role()));
+                prop_assert!(ledger.subjects_after(None).eq(before.subjects_after(None)));
+                prop_assert!(ledger.notices("board").eq(before.notices("board")));
+                continue;
+            }
+            let sequence = Sequence(sent[session].len() as u64 + 1);
+            let proposal = Proposal { session: SessionId(session as u64 + 1), sequence, command: command.clone() };
+            let reply = ledger.apply(Index(index), &proposal);
+            prop_assert_eq!(&reply, &twin.apply(Index(index), &proposal), "the same on every instance");
+            sent[session].push((proposal, reply.clone()));
+
+            let epoch = ledger.grant(&role()).map_or(Epoch(0), |g| g.epoch);
+            prop_assert!(epoch == epoch_before || epoch.0 == epoch_before.0 + 1);
+            match (&command, &reply) {
+                (Command::Decide { subject, value }, Reply::Decided { value: held, first }) => {
+                    let known = decided.entry(subject.number).or_insert_with(|| value.clone());
+                    prop_assert_eq!(&*known, held);
+                    prop_assert!(!first || value == held);
+                    prop_assert!(subject.number >= floors.get("subject").copied().unwrap_or(0));
+                }
+                (Command::Hand { epoch: shown, order, .. }, Reply::Handed(under)) => {
+                    prop_assert_eq!((*shown, *under), (epoch, epoch), "only the present holder hands out");
+                    // Again only under a later epoch than before: the gate lets the older one through no more.
+                    prop_assert!(handed_under.insert(order.number, *under).is_none_or(|older| older < *under));
+                }
+                (Command::Take { expect, .. }, Reply::Granted(under)) => {
+                    prop_assert_eq!((*expect, *under), (epoch_before, epoch));
+                }
+                (Command::Retire { space, below }, Reply::Done) => {
+                    let floor = floors.entry(space.clone()).or_default();
+                    *floor = (*floor).max(*below);
+                }
+                _ => {}
+            }
+            for (subject, standing) in ledger.subjects_after(None) {
+                prop_assert!(subject.number >= floors.get(&subject.space).copied().unwrap_or(0));
+                if let Standing::Decided(value) = standing {
+                    prop_assert_eq!(decided.get(&subject.number), Some(value));
+                }
+                if let Some(Standing::Ran(_)) = before.standing(subject) {
+                    prop_assert!(matches!(standing, Standing::Ran(_)), "what ran has run");
+                }
+            }
+        }
+        // What a snapshot carries is all there is.
+        let bytes = postcard::to_stdvec(&ledger).expect("bytes");
+        let back: Ledger = postcard::from_bytes(&bytes).expect("a ledger");
+        prop_assert_eq!(&back, &ledger);
+        prop_assert_eq!(&twin, &ledger);
+    }
+}
--- a/crates/standins/src/agents.rs
+++ b/crates/standins/src/agents.rs
@@ -277,6 +277,14 @@
         }
     }
 
+    /// Resident memory of an agent, in KiB; 0 if it does not run.
+    pub fn resident_kib(&self, at: usize) -> u64 {
+        let Some(child) = &self.agents[at].child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        line.split_whitespace().next().and_then(|kib| kib.parse().ok()).unwrap_or(0)
+    }
+
     /// An agent's log.
     pub fn log(&self, at: usize) -> String {
         std::fs::read_to_string(self.agents[at].config.with_extension("log")).unwrap_or_default()
