--- a/crates/front/benches/cores.rs
+++ b/crates/front/benches/cores.rs
@@ -1,6 +1,6 @@
 //! What a request costs: at full load by clients and machines, at a steady rate, and at rest.
 //!
-//! `cargo bench --locked -p garnetcrank-front --bench cores -- [--seconds S]` prints tables.
+//! `cargo bench --locked -p garnetcrank-front --bench cores -- [--seconds S] [--load-only 1]` prints tables.
 
 use std::time::Duration;
 
@@ -47,6 +47,9 @@
     for count in [8, 32, 128] {
         row(8, count, None);
     }
+    if value("--load-only", 0.0) > 0.0 {
+        return;
+    }
     row(400, 128, None);
     // 140 requests a second in all.
     row(8, 14, Some(Duration::from_millis(100)));
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -1,6 +1,5 @@
 //! Clients: their connections, requests read whole, answers written.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
@@ -8,6 +7,7 @@
 use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
 use garnetcrank::interface::{Micros, RequestId};
 use garnetcrank_http::{Bad, Parsing, Request, RequestReader, write_response};
+use rustc_hash::FxHashMap;
 use socket2::{Domain, Socket, Type};
 
 use crate::clock::{MS, SECOND};
@@ -96,7 +96,7 @@
 pub struct Clients {
     handle: Handle,
     listener: Option<(TcpListener, RegistrationToken)>,
-    clients: HashMap<ConnId, Client>,
+    clients: FxHashMap<ConnId, Client>,
     /// Every answer is the last one of its connection.
     pub closing: bool,
     /// Places are short, or others already wait for one: an answer closes its connection.
@@ -125,7 +125,7 @@
         Ok(Clients {
             handle: handle.clone(),
             listener: Some((listener, token)),
-            clients: HashMap::new(),
+            clients: FxHashMap::default(),
             closing: false,
             crowded: false,
             waiting: true,
--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Whether nothing is to be done but to listen.
+    pub fn at_rest(&self) -> bool {
+        self.asking.is_none() && (!self.wanted || self.watch.stands())
+    }
+
     /// Connects where that is due, and gives up what has been silent for too long.
     pub fn tend(&mut self, handle: &Handle, ids: &mut ConnIds, now: Micros) -> FleetNews {
         let mut news = FleetNews::default();
--- a/crates/front/src/driver.rs
+++ b/crates/front/src/driver.rs
@@ -1,12 +1,13 @@
 //! Around the decisions: events in, one at a time and never from within; actions out as commands to
 //! the sockets. No socket here, and no wire.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashSet, VecDeque};
 
 use garnetcrank::Brain;
 use garnetcrank::interface::*;
 use garnetcrank_http::{Headers, Request as Message, Response};
 use garnetcrank_settings::Settings;
+use rustc_hash::FxHashMap;
 
 use crate::clock::MS;
 use crate::ready::ConnId;
@@ -117,7 +118,7 @@
 pub struct Driver {
     brain: Brain,
     config: Config,
-    held: HashMap<RequestId, Held>,
+    held: FxHashMap<RequestId, Held>,
     /// Names that clients gave to the requests whose answer is owed.
     names: HashSet<Vec<u8>>,
     /// When they are failed, should nothing end them.
@@ -136,7 +137,7 @@
         Driver {
             brain: Brain::new(seed, settings.config.clone()),
             config: settings.config.clone(),
-            held: HashMap::new(),
+            held: FxHashMap::default(),
             names: HashSet::new(),
             overdue: BTreeSet::new(),
             owed: 0,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -33,6 +33,9 @@
 const BODY_PART: u64 = 8;
 /// How often connections are looked after: watches that went silent, idle ones, phases.
 const SWEEP: Micros = 20 * MS;
+/// The same while nothing is held and both sources of news are heard: thousands of quiet fronts pay for each wake. No
+/// limit that a sweep looks after then is under a second.
+const RESTING: Micros = 100 * MS;
 /// Clients accepted in a turn at the most, so that those already there are not kept waiting.
 const ACCEPTS: usize = 64;
 /// A turn that everyone waits for so long is told of: the host is short of CPU, or something here is slow.
@@ -44,7 +47,8 @@
 #[derive(Debug, Clone, Copy)]
 enum Due {
     Decisions(u64),
-    Sweep,
+    /// The one planned last.
+    Sweep(u64),
 }
 
 /// All of the front, but the event loop.
@@ -53,6 +57,9 @@
     ids: ConnIds,
     clock: Clock,
     timers: Timers<Due>,
+    /// Sweeps planned so far; only the last one counts.
+    sweeps: u64,
+    resting: bool,
     clients: Clients,
     machines: Machines,
     discovery: Discovery,
@@ -107,6 +114,8 @@
             ids: ConnIds::default(),
             clock,
             timers: Timers::default(),
+            sweeps: 0,
+            resting: false,
             life: Life::start(now),
             counters: Counters::default(),
             settings,
@@ -128,7 +137,7 @@
         front.fleet(known);
         let stage = front.platform.news(process.news, now);
         front.staged(stage.map(Event::Stage).into_iter().collect());
-        front.timers.set(now, Due::Sweep);
+        front.plan_sweep(now);
         Ok(front)
     }
 
@@ -170,10 +179,16 @@
         while let Some(due) = self.timers.due(now) {
             match due {
                 Due::Decisions(token) => self.driver.event(Event::Timer(token)),
-                Due::Sweep => self.sweep(now),
+                Due::Sweep(number) if number == self.sweeps => self.sweep(now),
+                Due::Sweep(_) => {}
             }
         }
         self.settle();
+        if self.resting && !self.quiet() {
+            // A lost connection is not made to wait for the end of a rest.
+            self.resting = false;
+            self.plan_sweep(now + SWEEP);
+        }
         let took = self.clock.now() - now;
         if took >= LONG_TURN {
             warn!("a turn of the loop took {} ms", took / MS);
@@ -332,8 +347,24 @@
         self.machines.has_idle(machine) || self.find_room(now)
     }
 
+    fn plan_sweep(&mut self, at: Micros) {
+        self.sweeps += 1;
+        self.timers.set(at, Due::Sweep(self.sweeps));
+    }
+
+    /// Whether nothing but requests needs looking after.
+    fn quiet(&self) -> bool {
+        let linked = self.link.as_ref().is_none_or(Link::at_rest);
+        self.life.serving()
+            && !self.clients.waiting
+            && linked
+            && self.discovery.at_rest()
+            && self.platform.at_rest()
+    }
+
     fn sweep(&mut self, now: Micros) {
-        self.timers.set(now + SWEEP, Due::Sweep);
+        self.resting = self.quiet() && self.driver.held() == 0;
+        self.plan_sweep(now + if self.resting { RESTING } else { SWEEP });
         self.tend_news(now);
         self.machines.tend(now);
         self.clients.tend(now, &mut self.client_notes);
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Whether nothing is to be done but to listen.
+    pub fn at_rest(&self) -> bool {
+        self.calls.is_empty() && self.watch.stands()
+    }
+
     /// News of the newest build, as the decisions are told it.
     pub fn news(&mut self, now: Micros, stage: Stage) -> Stage {
         self.ballots.news(now, stage)
--- a/crates/front/src/machines.rs
+++ b/crates/front/src/machines.rs
@@ -1,6 +1,6 @@
 //! Connections to machines: made, kept for further use, and the outcome of what was sent on them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 
@@ -8,6 +8,7 @@
 use garnetcrank::interface::*;
 use garnetcrank_http::{Headers, Request, Response, ResponseReader, write_request};
 use garnetcrank_settings::Transport;
+use rustc_hash::FxHashMap;
 
 use crate::clock::{MS, SECOND};
 use crate::conn::Conn;
@@ -132,8 +133,8 @@
     endpoints: BTreeMap<MachineId, Endpoint>,
     /// Processes told of so far: no two connections to different ones bear the same number.
     generations: u64,
-    links: HashMap<ConnId, Link>,
-    attempts: HashMap<(RequestId, usize), ConnId>,
+    links: FxHashMap<ConnId, Link>,
+    attempts: FxHashMap<(RequestId, usize), ConnId>,
     /// When exchanges, or their connecting, are given up: one entry for each under way.
     due: BTreeSet<(Micros, ConnId)>,
     /// Connections opened.
@@ -149,8 +150,8 @@
             transport,
             endpoints: BTreeMap::new(),
             generations: 0,
-            links: HashMap::new(),
-            attempts: HashMap::new(),
+            links: FxHashMap::default(),
+            attempts: FxHashMap::default(),
             due: BTreeSet::new(),
             opened: 0,
             reused: 0,
--- a/crates/front/src/platform.rs
+++ b/crates/front/src/platform.rs
@@ -134,6 +134,11 @@
         if held.is_none_or(|held| state.order() > held) { self.news(state, now) } else { None }
     }
 
+    /// Whether nothing is to be done but to listen.
+    pub fn at_rest(&self) -> bool {
+        self.votes.is_empty() && self.watch.stands()
+    }
+
     /// Casts a vote. The answer comes later, or at once if the vote cannot leave.
     pub fn vote(
         &mut self,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -57,6 +57,11 @@
         Watch { name, to, silence, open: None, heard: 0, again_at: 0, wait: AGAIN_FIRST }
     }
 
+    /// Whether a connection stands and has told something.
+    pub fn stands(&self) -> bool {
+        self.open.as_ref().is_some_and(|open| open.told)
+    }
+
     /// Drops the connection; the next one may be made at once.
     pub fn close(&mut self) {
         (self.open, self.again_at) = (None, 0);
--- a/crates/http/src/ring.rs
+++ b/crates/http/src/ring.rs
@@ -1,5 +1,6 @@
 //! A bounded ring buffer of bytes, one a direction of a connection.
 
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 
@@ -8,6 +9,11 @@
 /// An emptied ring gives back what it grew beyond this.
 const KEPT_WHEN_EMPTY: usize = 8 * 1024;
 
+thread_local! {
+    /// Where a read puts its bytes before they are known to be few: zeroed once, not at each read.
+    static BLOCK: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_AT_ONCE].into_boxed_slice());
+}
+
 /// The ring has no room for what was to be added; nothing was added.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Full;
@@ -57,11 +63,12 @@
     /// One read from `from`, for as much as there is room. The number read is 0 at the end of the input or
     /// without room: ask [`Ring::room`] first.
     pub fn fill(&mut self, from: &mut impl Read) -> io::Result<usize> {
-        let mut block = [0; READ_AT_ONCE];
         let most = self.room().min(READ_AT_ONCE);
-        let read = from.read(&mut block[..most])?;
-        self.bytes.extend(&block[..read]);
-        Ok(read)
+        BLOCK.with_borrow_mut(|block| {
+            let read = from.read(&mut block[..most])?;
+            self.bytes.extend(&block[..read]);
+            Ok(read)
+        })
     }
 
     /// One write of the foremost bytes to `to`; what was written is gone from the ring.
