--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -25,7 +25,7 @@
     Verdict, Watched, from_hex, hex,
 };
 use crate::config::Config;
-use crate::counters::{Counters, count};
+use crate::counters::count;
 use crate::peers::{Ground, Outbox};
 
 /// Inputs that wait for the core at the most.
@@ -698,9 +698,4 @@
             store_bytes: self.file_bytes,
         }
     }
-
-    /// Counters shared with the other threads.
-    pub fn counters(&self) -> &Arc<Counters> {
-        &self.parts.ground.counters
-    }
 }
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -139,7 +139,7 @@
                 count(&ground.counters.connected);
                 wait = BACKOFF.0;
                 told.clear();
-                speak(stream, &mut queue, &ground).await
+                speak(stream, &mut queue).await
             }
             Err(error) => Some(error),
         };
@@ -183,7 +183,7 @@
 }
 
 /// Speaks until the connection ends (why), or nobody sends here any more (none).
-async fn speak(mut stream: TcpStream, queue: &mut Queue, ground: &Ground) -> Option<WireError> {
+async fn speak(mut stream: TcpStream, queue: &mut Queue) -> Option<WireError> {
     let mut alive = tokio::time::interval(ALIVE);
     let mut long: Option<std::vec::IntoIter<Piece>> = None;
     let mut transfer = fastrand::u64(..);
@@ -231,7 +231,6 @@
         if let Err(error) = send(&mut writing, &frame).await {
             return Some(error);
         }
-        debug!(bytes = queue.bytes.load(Ordering::Relaxed), ground.me.name, "sent");
     }
 }
 
