Rarely met failing machines are left out, and get no effects

Traced by a front that logs each outcome: "m101 21 attempts, 17 errors", "m106 29, 26", "m84 28, 24" among 60 machines, and single fronts that try the same one every second: "15.339 m110 Error, 16.152 m110 Error; 16.179 m99 Error, 16.649 m99 Error". Ruled out: the build on trial (errors on the machines named, of both builds); connections (none refused there).

Cause: `machine_outcome` in src/brain.rs needed five faults in a row whatever lay between them, and a front of 100 meets each machine once in 6 to 8 s; it left it out for 1 s, less than it takes to meet it again; and it left out no machine of a build on trial. Change: an outcome after long without any weighs as much as the pace fades meanwhile; the machine is left out for twice as long as it was not met, 10 s at the most; on trial too where it fails far more than its build does; and requests that must not run twice try no machine that failed of late, unless its build fails as much.

The test fails without the change (4 errors at reads, 12 at effects; 5 and 3 with it).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,6 +46,7 @@
 const FORGET: Micros = 5 * SECOND; // a pace fades by half in so long: a slow machine is tried again
 const LOOKED_AT: usize = 8; // machines drawn a placement: enough to tell whether most are in good health
 const FAR: f64 = 0.8; // logarithm by which a zone must be slower of late than another to be left out
+const MISSED_AGAIN: Micros = 2; // a machine that is rarely met is left out for so many times as long
 const EJECT_ABOVE: f64 = 0.5; // smoothed fault share above which a machine is ejected: five in a row
 const FAULT_PACE: f64 = 1.1; // a fault counts as this slow (logarithm): quick errors must draw no traffic
 const CROSSING: f64 = 2.5; // how much heavier a machine in another zone counts where crossing has a price
@@ -261,26 +262,40 @@
     fn machine_outcome(&mut self, id: MachineId, outcome: Outcome, slower: f64) {
         let now = self.now;
         let Some(m) = self.machines.get(&id) else { return };
-        let (trial, faded) = (self.on_trial(m.entry.build), self.pace(m));
+        let (of_build, faded) = (self.errors_of(m.entry.build), self.pace(m));
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let fault = outcome != Outcome::Served;
         let sample = if fault { slower.max(FAULT_PACE) } else { slower };
+        // Danger: a front with few requests meets a machine that fails now and then, and needs five meetings to
+        // tell. An outcome after long without any says more; time-outs do not, a full fleet brings them alike.
+        let apart = if machine.paced_at > 0 { now.saturating_sub(machine.paced_at) } else { 0 };
+        let newest = match outcome {
+            Outcome::Served | Outcome::Error => NEWEST.max(1.0 - faded_after(apart)),
+            _ => NEWEST,
+        };
         (machine.pace, machine.paced_at) = (faded + (sample - faded) * NEWEST, now);
-        machine.faults += (f64::from(u8::from(fault)) - machine.faults) * NEWEST;
+        machine.faults += (f64::from(u8::from(fault)) - machine.faults) * newest;
         // A machine that can't be reached costs a connect time-out a try: out at once. One that fails goes
-        // once it fails most; not one of a build on trial, whose failures are the judge's evidence.
+        // once it fails far more than its build does, whose failures are the judge's evidence.
         let dead = outcome == Outcome::Unreached;
-        let failing = machine.faults > EJECT_ABOVE && !trial;
+        let failing = machine.faults > EJECT_ABOVE + of_build;
         if !fault {
             machine.ejection = AGAIN_FIRST;
         } else if (dead || failing) && now >= machine.ejected_until {
-            let span = machine.ejection;
+            // Left out for less than it takes to meet it again, it would hardly be left out at all.
+            let span = machine.ejection.max(if dead { 0 } else { MISSED_AGAIN * apart.min(FORGET) });
             (machine.dead, machine.faults, machine.ejected_until) = (dead, EJECT_ABOVE, now + span);
-            machine.ejection = (span * 2).min(AGAIN_MOST);
+            machine.ejection = (machine.ejection * 2).min(AGAIN_MOST);
             self.log(false, || format!("ejected machine {} for {} ms: {outcome:?}", id.0, span / MS));
         }
     }
 
+    /// The share of errors among a build's last outcomes, wherever they came from.
+    fn errors_of(&self, build: Build) -> f64 {
+        let all = self.records.get(&build).and_then(|r| r.seen.last());
+        all.map_or(0.0, |seen| share(seen, KEPT, |s| s.outcome == Outcome::Error))
+    }
+
     // ---- The per-build record and its verdict ----
 
     /// Whether a build is on trial for this instance: the newest until told released, and any later one.
@@ -597,13 +612,16 @@
 
     /// What health says of a machine that the rules allow for this request; none: a rule forbids it.
     fn eligible(&mut self, held: &Held, id: MachineId) -> Option<Health> {
-        let &Machine { entry, ejected_until, dead, .. } = self.machines.get(&id)?;
+        let &Machine { entry, ejected_until, dead, faults, .. } = self.machines.get(&id)?;
         let kept = self.exposure_allows(entry.build, held.request.class)
             && self.key_allows(held.request.key, entry.build)
             && self.repeat_allows(held, &entry)
             && self.cold_allows(id, &held.request);
         let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
-        kept.then_some(match tried || ejected || self.shunned(entry.build) {
+        // What must not run twice is not what a machine that failed of late is tried again with.
+        let once = self.config.classes[held.request.class.0].effect == Effect::Once;
+        let wary = once && faults > EJECT_ABOVE / 2.0 + self.errors_of(entry.build);
+        kept.then_some(match tried || ejected || wary || self.shunned(entry.build) {
             false => Health::Good,
             true if ejected && dead => Health::Dead,
             true => Health::Poor,
@@ -664,7 +682,7 @@
 
     /// A machine's pace fades, so that a slow one is tried again.
     fn pace(&self, machine: &Machine) -> f64 {
-        machine.pace * 0.5_f64.powf(self.now.saturating_sub(machine.paced_at) as f64 / FORGET as f64)
+        machine.pace * faded_after(self.now.saturating_sub(machine.paced_at))
     }
 
     // ---- Request life ----
@@ -886,6 +904,11 @@
     }
 }
 
+/// What is left of a machine's pace after so long without an outcome.
+fn faded_after(span: Micros) -> f64 {
+    0.5_f64.powf(span as f64 / FORGET as f64)
+}
+
 /// Whether a failure shows on most machines of a build, each by its mean over a bar.
 /// Danger: machines with quick errors, a neighbour or a crash among many fail a good build. Harm: a build
 /// that is bad on fewer than half of its machines goes on.
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -305,3 +305,21 @@
     }
     assert!(refused < 20, "{refused} of 2000 refused though a second try would have served them");
 }
+
+#[test]
+fn a_machine_that_is_met_every_few_seconds_goes_on_failing() {
+    let mut rig = Rig::new(config());
+    rig.list((0..30).map(|m| entry(m, OLD)).collect());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    let sick = |m: MachineId| if m.0 < 4 { Outcome::Error } else { Outcome::Served };
+    let mut errors = [0, 0];
+    for turn in 0..600 {
+        rig.tick(200);
+        let class = if turn % 2 == 0 { READ } else { PAY };
+        let met = rig.serve(class, sick).is_some_and(|m| m.0 < 4);
+        errors[turn % 2] += u32::from(met);
+    }
+    // Evenly spread they would be met 80 times, half of these with what can't be tried again.
+    assert!(errors[0] + errors[1] <= 10, "{errors:?} errors in two minutes");
+    assert!(errors[1] < errors[0], "effects try machines that failed: {errors:?}");
+}
