--- a/src/brain.rs
+++ b/src/brain.rs
@@ -266,8 +266,8 @@
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let fault = outcome != Outcome::Served;
         let sample = if fault { slower.max(FAULT_PACE) } else { slower };
-        // Danger: a front with few requests meets a machine that fails now and then, and needs five meetings to
-        // tell. An outcome after long without any says more; time-outs do not, a full fleet brings them alike.
+        // Danger: a front with few requests meets a failing machine now and then, and needs five meetings to
+        // tell. An outcome after long without any says more; not a time-out: a full fleet brings it, too.
         let apart = if machine.paced_at > 0 { now.saturating_sub(machine.paced_at) } else { 0 };
         let newest = match outcome {
             Outcome::Served | Outcome::Error => NEWEST.max(1.0 - faded_after(apart)),
