A failing machine finds its way back where no request may run twice

Seen on a last reading: requests that must not run twice avoid a machine that failed of late, and its faults end only by an answer. Where every class is such, nobody tries it again: 0 of 200 requests in a test, with the machine well for 100 s. Lines: `eligible` in src/brain.rs.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -618,8 +618,9 @@
             && self.repeat_allows(held, &entry)
             && self.cold_allows(id, &held.request);
         let (tried, ejected) = (held.attempts.iter().any(|a| a.machine == id), self.now < ejected_until);
-        // What must not run twice is not what a machine that failed of late is tried again with.
-        let once = self.config.classes[held.request.class.0].effect == Effect::Once;
+        // What must not run twice is no try of a machine that failed of late, where others can be.
+        let once = |class: &Class| class.effect == Effect::Once;
+        let once = once(&self.config.classes[held.request.class.0]) && !self.config.classes.iter().all(once);
         let wary = once && faults > EJECT_ABOVE / 2.0 + self.errors_of(entry.build);
         kept.then_some(match tried || ejected || wary || self.shunned(entry.build) {
             false => Health::Good,
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -323,3 +323,22 @@
     assert!(errors[0] + errors[1] <= 10, "{errors:?} errors in two minutes");
     assert!(errors[1] < errors[0], "effects try machines that failed: {errors:?}");
 }
+
+#[test]
+fn a_machine_that_failed_once_is_lost_where_nothing_may_run_twice() {
+    let mut single = config();
+    single.classes = vec![class("pay", Effect::Once)];
+    let mut rig = Rig::new(single);
+    rig.list((0..6).map(|m| entry(m, OLD)).collect());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    let turns = |rig: &mut Rig, fate: &dyn Fn(MachineId) -> Outcome| {
+        let at_sick = (0..200).filter(|_| {
+            rig.tick(500);
+            rig.serve(ClassId(0), fate) == Some(MachineId(2))
+        });
+        at_sick.count()
+    };
+    turns(&mut rig, &|m| if m.0 == 2 { Outcome::Error } else { Outcome::Served });
+    let back = turns(&mut rig, &|_| Outcome::Served);
+    assert!(back >= 1, "there is a way back: {back} of 200");
+}
