--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -35,6 +35,8 @@
 const MAKES_WAY: Micros = 2 * SECOND;
 /// ... and one that was made so long ago and never said a word: whoever has something to say says it at once.
 const SILENT: Micros = 50 * MS;
+/// While the process ends, a connection that was just made is kept so long for its first request.
+const FIRST_REQUEST: Micros = 250 * MS;
 /// After the last answer on a connection, what the client still sends is read for so long and up to so many
 /// bytes, lest a reset overtakes the answer.
 const LINGER: Micros = 300 * MS;
@@ -363,14 +365,17 @@
         self.clients.remove(&id);
     }
 
-    /// Whether every answer has left.
-    pub fn all_answered(&self) -> bool {
-        self.clients.values().all(|c| matches!(c.state, State::Reading) || c.finished)
+    /// Whether nothing is owed to anyone, nor can be any more: nobody comes, and nobody is connected. Short of that a
+    /// request may be half read or lie unread, or an answer may be overtaken by the reset of what its client sent.
+    pub fn all_gone(&self) -> bool {
+        !self.listens() && self.clients.is_empty()
     }
 
-    /// Closes every connection that is between requests, once nothing more has come on it.
-    pub fn close_idle(&mut self) {
-        self.clients.retain(|_, c| !(c.idle() && c.conn.quiet()));
+    /// Closes every connection that is between requests, once nothing more has come on it. One just made has its first
+    /// request on the way.
+    pub fn close_idle(&mut self, now: Micros) {
+        let rests = |c: &Client| c.idle() && (!c.new || now >= c.moved + FIRST_REQUEST);
+        self.clients.retain(|_, c| !(rests(c) && c.conn.quiet()));
     }
 
     /// Closes one connection to make room: of a client that has its last answer, has said nothing, or nothing
@@ -437,3 +442,119 @@
         self.state == State::Reading && !self.reader.midway() && nothing
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::TcpStream;
+
+    const NOW: Micros = 1_000 * SECOND;
+
+    /// A listening socket with one client, whose every byte the test writes; the clock is the test's.
+    struct Stand {
+        _loop: calloop::EventLoop<'static, Ready>,
+        clients: Clients,
+        ids: ConnIds,
+        notes: Vec<Note>,
+        client: TcpStream,
+    }
+
+    impl Stand {
+        fn new() -> Stand {
+            let event_loop = calloop::EventLoop::try_new().expect("a loop");
+            let handle = event_loop.handle();
+            let clients =
+                Clients::listen(&handle, "127.0.0.1:0".parse().expect("an address")).expect("a port");
+            let (listener, _) = clients.listener.as_ref().expect("a listener");
+            let client =
+                TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+            let (ids, notes) = (ConnIds::default(), Vec::new());
+            Stand { _loop: event_loop, clients, ids, notes, client }
+        }
+
+        /// The last arrivals are taken in, and the socket is closed.
+        fn deaf() -> Stand {
+            let mut stand = Stand::new();
+            stand.clients.closing = true;
+            while stand.clients.accept(&mut stand.ids, NOW) {}
+            stand.clients.stop_listening();
+            assert_eq!(stand.clients.len(), 1, "it waited to be accepted");
+            stand
+        }
+
+        fn id(&self) -> ConnId {
+            *self.clients.clients.keys().next().expect("a client")
+        }
+
+        fn send(&mut self, text: &str) {
+            self.client.write_all(text.as_bytes()).expect("sent");
+            let (id, conn) =
+                self.clients.clients.iter().next().map(|(id, c)| (*id, &c.conn)).expect("a client");
+            while conn.quiet() {
+                std::thread::yield_now();
+            }
+            let readiness = Readiness { readable: true, writable: true, error: false };
+            self.clients.ready(id, readiness, NOW, &mut self.notes);
+        }
+    }
+
+    const REQUEST: &str = "GET /look HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    #[test]
+    fn one_accepted_last_is_heard_before_its_connection_counts_as_idle() {
+        let mut stand = Stand::deaf();
+        stand.clients.close_idle(NOW);
+        stand.clients.close_idle(NOW + FIRST_REQUEST - 1);
+        assert!(!stand.clients.all_gone(), "closed while its first request was on the way");
+        stand.send(REQUEST);
+        assert!(matches!(stand.notes[..], [Note::Request(..)]));
+        let mut silent = Stand::deaf();
+        silent.clients.close_idle(NOW + FIRST_REQUEST);
+        assert!(silent.clients.all_gone(), "it never says a word");
+    }
+
+    #[test]
+    fn the_process_waits_for_what_is_half_read_unread_or_not_yet_taken() {
+        let mut stand = Stand::deaf();
+        let (half, rest) = REQUEST.split_at(20);
+        stand.send(half);
+        stand.clients.close_idle(NOW + FIRST_REQUEST);
+        assert!(!stand.clients.all_gone(), "half a request is read");
+        stand.send(rest);
+        assert!(!stand.clients.all_gone(), "a request is read");
+        let id = stand.id();
+        assert!(stand.clients.held(id, RequestId(1)));
+        assert!(!stand.clients.all_gone());
+        stand.clients.answer(id, 200, std::iter::empty(), b"hi", NOW, &mut stand.notes);
+        // The answer has left, and what its client still sends must not be met by a reset that overtakes it.
+        assert!(!stand.clients.all_gone(), "its last answer may be on the way");
+        stand.client.write_all(REQUEST.as_bytes()).expect("sent");
+        stand.clients.tend(NOW + LINGER - 1, &mut stand.notes);
+        assert!(!stand.clients.all_gone());
+        let mut answer = String::new();
+        stand.client.read_to_string(&mut answer).expect("a whole answer and no reset");
+        assert!(answer.ends_with("hi"), "{answer}");
+        stand.clients.tend(NOW + LINGER, &mut stand.notes);
+        assert!(stand.clients.all_gone(), "one that never leaves is not waited for");
+    }
+
+    #[test]
+    fn what_lies_unread_on_an_idle_connection_is_heard_before_it_is_closed() {
+        let mut stand = Stand::deaf();
+        stand.client.write_all(REQUEST.as_bytes()).expect("sent");
+        while stand.clients.clients.values().all(|c| c.conn.quiet()) {
+            std::thread::yield_now();
+        }
+        stand.clients.close_idle(NOW + SECOND);
+        assert!(!stand.clients.all_gone(), "its request lies in the kernel");
+    }
+
+    #[test]
+    fn while_it_listens_somebody_may_come() {
+        let mut stand = Stand::new();
+        assert!(!stand.clients.all_gone(), "one waits to be accepted");
+        stand.clients.stop_listening();
+        assert!(stand.clients.all_gone());
+    }
+}
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -77,6 +77,11 @@
         self.readable |= readiness.readable || readiness.error;
     }
 
+    /// Has the next read look for what came since the loop told of it last.
+    pub fn look(&mut self) {
+        self.readable = true;
+    }
+
     /// Whether the connection is up; an error if it never will be.
     pub fn connected(&self) -> io::Result<bool> {
         match self.stream.take_error()? {
--- a/crates/front/src/cores.rs
+++ b/crates/front/src/cores.rs
@@ -7,7 +7,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use calloop::ping::{Ping, PingSource, make_ping};
-use garnetcrank::interface::{Event, Micros, RequestId};
+use garnetcrank::interface::{Build, Event, Micros, RequestId};
 use garnetcrank_sharing::{Decisions, Stamp, Standing};
 
 use crate::clock::MS;
@@ -37,13 +37,15 @@
     Command(Command),
     /// News of where a machine listens.
     Place(Place),
+    /// Less may be sent to this build than before.
+    Less(Build),
 }
 
 struct Desk {
     letters: Mutex<Vec<Letter>>,
     ping: Ping,
     clients: AtomicUsize,
-    answered: AtomicBool,
+    gone: AtomicBool,
     counters: Mutex<Counters>,
 }
 
@@ -73,7 +75,7 @@
                 letters: Mutex::default(),
                 ping,
                 clients: AtomicUsize::new(0),
-                answered: AtomicBool::new(true),
+                gone: AtomicBool::new(false),
                 counters: Mutex::default(),
             });
         }
@@ -140,10 +142,10 @@
     }
 
     /// A thread's figures, for the others.
-    pub fn publish(&self, core: Core, clients: usize, answered: bool, counters: &Counters) {
+    pub fn publish(&self, core: Core, clients: usize, gone: bool, counters: &Counters) {
         let desk = &self.desks[core.0];
         desk.clients.store(clients, Ordering::Relaxed);
-        desk.answered.store(answered, Ordering::SeqCst);
+        desk.gone.store(gone, Ordering::SeqCst);
         if self.cores() > 1 {
             *locked(&desk.counters) = counters.clone();
         }
@@ -155,9 +157,9 @@
         self.others(core).all(|other| clients <= self.desks[other.0].clients.load(Ordering::Relaxed))
     }
 
-    /// Whether the other threads owe nobody an answer.
-    pub fn others_answered(&self, core: Core) -> bool {
-        self.others(core).all(|other| self.desks[other.0].answered.load(Ordering::SeqCst))
+    /// Whether the other threads take nobody any more and nobody is connected to them.
+    pub fn others_gone(&self, core: Core) -> bool {
+        self.others(core).all(|other| self.desks[other.0].gone.load(Ordering::SeqCst))
     }
 
     /// The other threads' counters.
@@ -240,7 +242,7 @@
         shared.publish(Core(1), 1, true, &Counters::default());
         shared.publish(Core(2), 1, false, &Counters::default());
         assert!(!shared.least(Core(0), 2) && shared.least(Core(1), 1) && shared.least(Core(2), 1));
-        assert!(!shared.others_answered(Core(0)) && shared.others_answered(Core(2)));
+        assert!(!shared.others_gone(Core(0)) && shared.others_gone(Core(2)));
     }
 
     #[test]
--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -12,10 +12,11 @@
 use crate::call::{Ask, Call, CallEnd};
 use crate::clock::{MS, SECOND};
 use crate::ready::{ConnId, ConnIds, Handle, Who};
-use crate::watch::Watch;
+use crate::watch::{FIRST_WORD, Heard, Watch};
 
-/// Silence after which a watch is dead: two of its signs of life, one every 2 s, and a margin.
-const SILENCE: Micros = 5 * SECOND;
+/// Silence after which a watch is dead: one of its signs of life, one every 2 s, and a margin. What a dead one misses
+/// counts as told 6 s after it fell silent, so that two more connections may fail before one tells it.
+const SILENCE: Micros = 3 * SECOND;
 /// Longest wait for the whole list, and its longest size.
 const ASK_WAIT: Micros = 2 * SECOND;
 const LIST_MOST: usize = 4 * 1024 * 1024;
@@ -72,6 +73,16 @@
     pub address: Option<SocketAddr>,
     /// Another process answers there than before: kept connections are void.
     pub renewed: bool,
+    /// It takes nothing new.
+    pub drains: bool,
+    /// The build that it runs.
+    pub build: Build,
+}
+
+impl Place {
+    fn nowhere(machine: MachineId) -> Self {
+        Place { machine, address: None, renewed: true, drains: true, build: Build::default() }
+    }
 }
 
 /// The numbers under which the decisions know machines, zones and kinds.
@@ -97,7 +108,7 @@
             return (Fleet::Changes(entries), places);
         }
         let missing = self.starts.keys().filter(|m| !seen.contains(*m));
-        places.extend(missing.map(|m| Place { machine: *m, address: None, renewed: true }));
+        places.extend(missing.copied().map(Place::nowhere));
         self.starts.retain(|m, _| seen.contains(m));
         self.numbers.retain(|_, m| seen.contains(m));
         (Fleet::Whole { entries, saved }, places)
@@ -121,12 +132,18 @@
             seen.insert(machine);
         }
         let renewed = gone || before.is_some_and(|b| b != start);
-        places.push(Place { machine, address: member.host_port.filter(|_| !gone), renewed });
         let presence = match member.phase {
             Standing::Ready if member.host_port.is_some() => Presence::On,
             Standing::Ready | Standing::Terminating => Presence::Draining,
             Standing::Gone => Presence::Gone,
         };
+        places.push(Place {
+            machine,
+            address: member.host_port.filter(|_| !gone),
+            renewed,
+            drains: presence != Presence::On,
+            build: Build(member.build),
+        });
         Entry {
             machine,
             kind: KindId(number(&mut self.kinds, &member.flavor)),
@@ -164,6 +181,7 @@
     /// The list comes unasked: the watch is kept up by itself.
     pushed: bool,
     wanted: bool,
+    text: Text,
     asking: Option<Call>,
     /// Discovery has told something since the start.
     pub heard: bool,
@@ -173,8 +191,10 @@
 
 impl Discovery {
     /// A view that holds nothing yet.
-    pub fn new(address: SocketAddr, settings: &Settings) -> Self {
+    pub fn new(address: SocketAddr, settings: &Settings, seed: u64) -> Self {
         let pushed = !settings.config.ask_for_fleet;
+        // Where the list is asked for, many ask at once and are answered one after another.
+        let first_word = if pushed { FIRST_WORD } else { SILENCE };
         Discovery {
             address,
             roster: Roster {
@@ -185,9 +205,10 @@
                 kinds: settings.kinds.clone(),
                 revision: 0,
             },
-            watch: Watch::new("discovery", address, SILENCE),
+            watch: Watch::new("discovery", address, (SILENCE, first_word), seed),
             pushed,
             wanted: pushed,
+            text: Text::default(),
             asking: None,
             heard: false,
             reconnects: 0,
@@ -202,22 +223,39 @@
 
     /// The configuration was read again. The list held stays, unless the one told there is newer; the next
     /// connection goes to the new address, at once.
-    pub fn renew(&mut self, address: SocketAddr, known: List) -> FleetNews {
-        self.address = address;
-        self.watch.retarget(address);
-        if known.revision > self.roster.revision { self.known(known) } else { FleetNews::default() }
+    pub fn renew(&mut self, address: SocketAddr, known: List, now: Micros) -> FleetNews {
+        let last = self.watch.retarget(address, now);
+        let mut news = self.heard(last, now);
+        if address != self.address {
+            self.text = Text::default();
+        }
+        if std::mem::replace(&mut self.address, address) != address && self.asking.take().is_some() {
+            news.fleet.push(Fleet::Unreachable); // asked again where it is now
+        }
+        if known.revision > self.roster.revision {
+            let FleetNews { fleet, places } = self.known(known);
+            news.fleet.extend(fleet);
+            news.places.extend(places);
+        }
+        news
     }
 
     /// The decisions subscribe, or no longer want to.
-    pub fn subscribe(&mut self, want: bool) {
-        self.wanted = want || self.pushed;
-        if !self.pushed {
-            self.watch.close();
+    pub fn subscribe(&mut self, want: bool, now: Micros) -> FleetNews {
+        if self.pushed {
+            return FleetNews::default();
         }
+        let last = self.watch.close(now);
+        let news = self.heard(last, now);
+        (self.wanted, self.text) = (want, Text::default());
+        news
     }
 
     /// The decisions ask for the whole list.
     pub fn ask(&mut self, handle: &Handle, ids: &mut ConnIds, now: Micros) -> FleetNews {
+        if self.asking.is_some() {
+            return FleetNews::default(); // its answer is theirs too
+        }
         let id = ids.next();
         let ask = Ask {
             to: self.address,
@@ -253,14 +291,35 @@
         }
         if self.wanted {
             let target = || format!("/v1/servers?stream=1&index={}", self.roster.revision);
-            let lost = self.watch.tend(handle, ids, Who::Discovery, now, target);
-            self.lost(lost, &mut news);
+            let heard = self.watch.tend(handle, ids, Who::Discovery, now, target);
+            let FleetNews { fleet, places } = self.heard(heard, now);
+            news.fleet.extend(fleet);
+            news.places.extend(places);
+        }
+        news
+    }
+
+    /// What the watch has to say.
+    fn heard(&mut self, heard: Heard, now: Micros) -> FleetNews {
+        let mut news = FleetNews::default();
+        let mut lost = heard.lost;
+        for line in heard.lines {
+            let Some(text) = self.text.line(&line) else { continue };
+            if !self.line(&text, &mut news) {
+                self.watch.lose(now, "a list that can't be read");
+                lost = true;
+                break;
+            }
         }
+        self.lost(lost, &mut news);
         news
     }
 
     fn lost(&mut self, lost: bool, news: &mut FleetNews) {
         self.reconnects += u64::from(lost);
+        if lost {
+            self.text = Text::default(); // the next connection begins with a text of its own
+        }
         if lost && !self.pushed {
             self.wanted = false; // the decisions choose when to ask again
             news.fleet.push(Fleet::Unreachable);
@@ -269,37 +328,40 @@
 
     /// Takes what has come on one of its connections.
     pub fn ready(&mut self, id: ConnId, readiness: Readiness, now: Micros) -> FleetNews {
-        let mut news = FleetNews::default();
         if let Some(call) = self.asking.as_mut().filter(|c| c.id == id) {
-            let Some(end) = call.ready(readiness) else { return news };
+            let Some(end) = call.ready(readiness) else { return FleetNews::default() };
             self.asking = None;
-            match end {
-                CallEnd::Answer(r) if r.status == 200 && self.line(&r.body, &mut news) => {}
-                _ => news.fleet.push(Fleet::Unreachable),
-            }
-            return news;
+            return self.asked(end);
         }
         let heard = self.watch.ready(id, readiness, now);
-        for line in heard.lines {
-            if !self.line(&line, &mut news) {
-                self.watch.lose(now, "a list that can't be read");
-                self.lost(true, &mut news);
-                return news;
+        self.heard(heard, now)
+    }
+
+    /// The end of a call for the whole list. One that was written before what the watch has told since undoes nothing.
+    fn asked(&mut self, end: CallEnd) -> FleetNews {
+        let mut news = FleetNews::default();
+        let list = match end {
+            CallEnd::Answer(response) if response.status == 200 => read(&response.body),
+            _ => None,
+        };
+        match list {
+            Some(list) => {
+                let older = list.revision < self.roster.revision;
+                self.take(List { complete: list.complete && !older, ..list }, &mut news);
             }
+            None => news.fleet.push(Fleet::Unreachable),
         }
-        self.lost(heard.lost, &mut news);
         news
     }
 
-    /// One list or change; false if it can't be read.
+    /// One list or change of the watch; false if it can't be read.
     fn line(&mut self, line: &[u8], news: &mut FleetNews) -> bool {
-        let list: List = match serde_json::from_slice(line) {
-            Ok(list) => list,
-            Err(e) => {
-                warn!("discovery: {e}");
-                return false;
-            }
-        };
+        let Some(list) = read(line) else { return false };
+        self.take(list, news);
+        true
+    }
+
+    fn take(&mut self, list: List, news: &mut FleetNews) {
         self.heard = true;
         // A change that is already part of the list held says nothing new, but it answers: decisions that
         // wait for an answer would take discovery for lost and ask again, all fronts in step.
@@ -310,10 +372,46 @@
         } else {
             news.fleet.push(Fleet::Changes(Vec::new()));
         }
-        true
     }
 }
 
+/// A text of JSON that may be indented, over several lines, as far as it has come.
+#[derive(Debug, Default)]
+struct Text {
+    bytes: Vec<u8>,
+    /// Brackets that are open: no string goes on over the end of a line.
+    open: i32,
+}
+
+impl Text {
+    /// One more line; the text, if it ends here. An empty line ends one that is not whole: what follows a sign of life
+    /// is a text of its own, and half of one kept back would swallow all that come after it.
+    fn line(&mut self, line: &[u8]) -> Option<Vec<u8>> {
+        let empty = line.trim_ascii().is_empty();
+        if empty && self.bytes.is_empty() {
+            return None;
+        }
+        let (mut quoted, mut escaped) = (false, false);
+        for byte in line {
+            match byte {
+                _ if escaped => escaped = false,
+                b'\\' if quoted => escaped = true,
+                b'"' => quoted = !quoted,
+                b'{' | b'[' if !quoted => self.open += 1,
+                b'}' | b']' if !quoted => self.open -= 1,
+                _ => {}
+            }
+        }
+        self.bytes.extend_from_slice(line);
+        let over = empty || quoted || self.open <= 0 || self.bytes.len() > LIST_MOST;
+        over.then(|| std::mem::take(self).bytes)
+    }
+}
+
+fn read(text: &[u8]) -> Option<List> {
+    serde_json::from_slice(text).inspect_err(|e| warn!("discovery: {e}")).ok()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -321,7 +419,7 @@
     fn discovery() -> Discovery {
         let settings = serde_json::from_str(include_str!("../tests/settings.json")).expect("JSON");
         let settings = Settings::read(&settings).expect("settings that hold together");
-        Discovery::new("127.0.0.1:1".parse().expect("an address"), &settings)
+        Discovery::new("127.0.0.1:1".parse().expect("an address"), &settings, 7)
     }
 
     fn member(id: &str, port: u16, build: u32, phase: &str) -> String {
@@ -382,7 +480,7 @@
         let mut d = discovery();
         take(&mut d, &list(4, true, &[member("s-1", 9001, 41, "Ready"), member("s-2", 9002, 41, "Ready")]));
         let news = take(&mut d, &list(9, true, &[member("s-2", 9002, 41, "Ready")]));
-        assert!(news.places.contains(&Place { machine: MachineId(0), address: None, renewed: true }));
+        assert!(news.places.contains(&Place::nowhere(MachineId(0))));
     }
 
     #[test]
@@ -415,6 +513,57 @@
         assert_eq!(take(&mut d, &list(2, true, &[member("s-1", 9001, 41, "Ready")])).fleet.len(), 1);
     }
 
+    /// A list with a line for each value, as an agent may write it.
+    fn indented(line: &str) -> Vec<u8> {
+        let value: serde_json::Value = serde_json::from_str(line).expect("JSON");
+        serde_json::to_vec_pretty(&value).expect("JSON")
+    }
+
+    fn heard(d: &mut Discovery, text: &[u8]) -> FleetNews {
+        let lines = text.split(|b| *b == b'\n').map(<[u8]>::to_vec).collect();
+        d.heard(Heard { lines, lost: false }, 0)
+    }
+
+    #[test]
+    fn an_indented_list_is_one_list_and_half_of_one_swallows_nothing() {
+        let mut d = discovery();
+        let whole =
+            indented(&list(4, true, &[member("s-\"{1", 9001, 41, "Ready")]).replace("s-\"{1", "s-\\\"{1"));
+        assert!(whole.contains(&b'\n'));
+        assert!(
+            matches!(&heard(&mut d, &whole).fleet[..], [Fleet::Whole { entries, .. }] if entries.len() == 1)
+        );
+        let change = indented(&list(5, false, &[member("s-2", 9002, 41, "Ready")]));
+        let half = change.len() / 2;
+        assert!(heard(&mut d, b"\n\n").fleet.is_empty(), "signs of life");
+        // It comes in two parts, then half of another with a sign of life behind it.
+        let end = change[..half].iter().rposition(|b| *b == b'\n').expect("a line's end");
+        assert!(heard(&mut d, &change[..end]).fleet.is_empty());
+        assert!(matches!(&heard(&mut d, &change[end + 1..]).fleet[..], [Fleet::Changes(e)] if e.len() == 1));
+        heard(&mut d, &change[..end]);
+        assert_eq!(d.reconnects, 0);
+        heard(&mut d, b"");
+        assert_eq!(d.reconnects, 1, "half a list can't be read");
+        let after = list(6, false, &[member("s-3", 9003, 41, "Ready")]);
+        assert!(matches!(&heard(&mut d, after.as_bytes()).fleet[..], [Fleet::Changes(e)] if e.len() == 1));
+    }
+
+    #[test]
+    fn an_asked_list_older_than_what_the_watch_told_undoes_no_drain() {
+        let mut d = discovery();
+        take(&mut d, &list(4, true, &[member("s-1", 9001, 41, "Ready")]));
+        take(&mut d, &list(8, false, &[member("s-1", 9001, 41, "Terminating")]));
+        let answer = |revision| {
+            let body = list(revision, true, &[member("s-1", 9001, 41, "Ready")]).into_bytes();
+            let headers = garnetcrank_http::Headers::default();
+            CallEnd::Answer(garnetcrank_http::Response { status: 200, headers, body, keep_alive: false })
+        };
+        let older = d.asked(answer(7));
+        assert!(matches!(&older.fleet[..], [Fleet::Changes(e)] if e.is_empty()), "{older:?}");
+        assert!(older.places.is_empty());
+        assert!(matches!(&d.asked(answer(9)).fleet[..], [Fleet::Whole { .. }]));
+    }
+
     #[test]
     fn a_list_that_cannot_be_read_is_told_from_one_that_can() {
         let mut d = discovery();
--- a/crates/front/src/driver.rs
+++ b/crates/front/src/driver.rs
@@ -133,6 +133,8 @@
     owed_by: Vec<usize>,
     owed_bytes: usize,
     next: u32,
+    /// The process ends: every answer is given by then.
+    answer_by: Option<Micros>,
     news: VecDeque<Event>,
     /// News that the decisions have been told so far.
     news_told: u64,
@@ -153,6 +155,7 @@
             owed_by: vec![0; cores],
             owed_bytes: 0,
             next: 0,
+            answer_by: None,
             news: VecDeque::new(),
             news_told: 0,
             events: VecDeque::new(),
@@ -213,7 +216,7 @@
         self.next = self.next.wrapping_add(1);
         self.owed_by[core as usize] += 1;
         let Meaning { class, tenant, wait, hint, repeat } = meaning;
-        let deadline = now + wait;
+        let deadline = self.answer_by.map_or(now + wait, |by| by.min(now + wait));
         self.owed += 1;
         self.owed_bytes += message.body.len();
         self.names.insert(name_of(&message).to_vec());
@@ -233,6 +236,16 @@
         id
     }
 
+    /// The process ends and may be killed after this: what is held and what comes is answered by then.
+    pub fn answer_by(&mut self, by: Micros) {
+        self.answer_by = Some(by);
+        for (id, held) in self.held.iter_mut().filter(|(_, held)| held.owed && held.deadline > by) {
+            self.overdue.remove(&(held.deadline + OVERDUE, *id));
+            held.deadline = by;
+            self.overdue.insert((held.deadline + OVERDUE, *id));
+        }
+    }
+
     /// The final answer has been given, or is owed no more: whose it was.
     fn settle(&mut self, id: RequestId) -> Option<ConnId> {
         let held = self.held.get_mut(&id).filter(|h| h.owed)?;
@@ -470,6 +483,29 @@
         assert!(drain(&mut driver).is_empty() && driver.held.is_empty());
     }
 
+    #[test]
+    fn a_process_that_ends_answers_what_it_holds_and_what_comes_before_it_may_be_killed() {
+        let mut driver = driver();
+        arrive(&mut driver, "/pay");
+        assert_eq!(drain(&mut driver).len(), 1);
+        driver.answer_by(NOW + 5_000 * MS);
+        assert_eq!(driver.due(), Some(NOW + 900 * MS + OVERDUE), "its own time is over before that");
+        driver.answer_by(NOW + 300 * MS);
+        assert_eq!(driver.due(), Some(NOW + 300 * MS + OVERDUE));
+        let mut commands = Vec::new();
+        driver.overdue(NOW + 300 * MS + OVERDUE, &mut commands);
+        assert!(matches!(commands[..], [Command::Overdue { .. }]));
+        drain(&mut driver);
+        // One that comes now has that time and no longer, and is sent nowhere for longer.
+        arrive(&mut driver, "/look");
+        assert_eq!(driver.due(), Some(NOW + 300 * MS + OVERDUE));
+        let by = |c: &Command| matches!(c, Command::Place { until, .. } if *until <= NOW + 300 * MS);
+        let placed = drain(&mut driver);
+        assert!(placed.iter().all(by) && placed.len() == 1, "{placed:?}");
+        driver.answer_by(NOW + 200 * MS);
+        assert_eq!((driver.overdue.len(), driver.held()), (1, 1), "an entry was left behind");
+    }
+
     #[test]
     fn what_may_have_run_is_failed_and_what_surely_did_not_is_tried_again() {
         for (outcome, again) in [
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -116,6 +116,8 @@
     machine_notes: Vec<machines::Note>,
     /// When bad requests were last told of.
     bad_told: Micros,
+    /// The cap last told, and of which build.
+    cap: Option<(Build, f64)>,
 }
 
 impl Front {
@@ -167,13 +169,13 @@
             ));
         }
         let news = News {
-            discovery: Discovery::new(process.discovery, &settings),
-            platform: Platform::new(process.platform, settings.config.rollout.vote_wait),
+            discovery: Discovery::new(process.discovery, &settings, process.seed),
+            platform: Platform::new(process.platform, settings.config.rollout.vote_wait, process.seed),
             link: extras
                 .agreement
                 .as_ref()
-                .map(|a| Link::new(a, &process.name, settings.config.rollout.vote_life)),
-            life: Life::start(now),
+                .map(|a| Link::new(a, &process.name, settings.config.rollout.vote_life, process.seed)),
+            life: Life::start(now, settings.config.classes.iter().map(|c| c.deadline).max().unwrap_or(0)),
             fixed,
         };
         let mut front = Front::with(Core::FIRST, shared, handle, clock, clients, settings, budgets);
@@ -236,6 +238,7 @@
             client_notes: Vec::new(),
             machine_notes: Vec::new(),
             bad_told: 0,
+            cap: None,
         }
     }
 
@@ -263,8 +266,9 @@
                 Asked::Counters => self.print_counters(),
                 Asked::Reload => self.reload(now),
                 Asked::Stop => {
-                    if let Some(news) = &mut self.news {
-                        self.clients.closing |= news.life.stop(now);
+                    if let Some(by) = self.news.as_mut().and_then(|news| news.life.stop(now)) {
+                        self.clients.closing = true;
+                        self.shared.driver().answer_by(by);
                     }
                 }
             }
@@ -306,8 +310,7 @@
         c.peak_machine_conns = c.peak_machine_conns.max(conns);
         c.peak_held = c.peak_held.max(self.shared.driver().held() as u64);
         if self.shared.cores() > 1 {
-            let answered = self.clients.all_answered();
-            self.shared.publish(self.core, self.clients.len(), answered, &self.counters);
+            self.shared.publish(self.core, self.clients.len(), self.clients.all_gone(), &self.counters);
         }
     }
 
@@ -319,7 +322,8 @@
         for letter in self.shared.letters(self.core) {
             match letter {
                 Letter::Command(command) => self.carry_out(command, now),
-                Letter::Place(place) => self.machines.place(&place),
+                Letter::Place(place) => self.machines.place(&place, now, &mut self.machine_notes),
+                Letter::Less(build) => self.machines.recall_build(build, now, &mut self.machine_notes),
             }
         }
     }
@@ -339,10 +343,10 @@
         for key in &renewal.fixed {
             warn!("reload: {key}: a new value counts from the next start on");
         }
-        let fleet = news.discovery.renew(renewal.discovery, renewal.known);
-        let stage = news.platform.renew(renewal.platform, renewal.news, now);
+        let fleet = news.discovery.renew(renewal.discovery, renewal.known, now);
+        let events = news.platform.renew(renewal.platform, renewal.news, now);
         self.fleet(fleet);
-        self.staged(stage.map(Event::Stage).into_iter().collect());
+        self.staged(events);
         self.tend_news(now);
     }
 
@@ -405,8 +409,9 @@
     }
 
     fn fleet(&mut self, news: FleetNews) {
+        let now = self.clock.now();
         for place in &news.places {
-            self.machines.place(place);
+            self.machines.place(place, now, &mut self.machine_notes);
         }
         if !news.places.is_empty() {
             for other in self.shared.others(self.core) {
@@ -427,10 +432,25 @@
                 }
                 (event, _) => event,
             };
+            if let Event::Stage(stage) | Event::Voted(_, Some(stage)) = &event {
+                self.capped(stage);
+            }
             self.tell(event);
         }
     }
 
+    /// A lower cap binds attempts that were decided under the earlier one and are not on their way yet.
+    fn capped(&mut self, stage: &Stage) {
+        let before = self.cap.replace((stage.build, stage.cap));
+        if before.is_some_and(|(build, cap)| build == stage.build && stage.cap < cap) {
+            let now = self.clock.now();
+            self.machines.recall_build(stage.build, now, &mut self.machine_notes);
+            for other in self.shared.others(self.core) {
+                self.shared.post(other, [Letter::Less(stage.build)]);
+            }
+        }
+    }
+
     /// Takes clients in while there is room, which idle connections to machines make way for.
     fn accept(&mut self, now: Micros) {
         // With half of the places taken, answers close their connections: those who come by the hundreds, ask
@@ -485,7 +505,7 @@
     /// Whether an exchange with this machine can have a connection; a kept one to another may make way, or a
     /// client without a request.
     fn room_for(&mut self, machine: MachineId, now: Micros) -> bool {
-        self.machines.has_idle(machine) || self.find_room(now)
+        self.machines.has_idle(machine, now) || self.find_room(now)
     }
 
     fn plan_sweep(&mut self, at: Micros) {
@@ -514,7 +534,7 @@
         self.machines.tend(now);
         self.clients.tend(now, &mut self.client_notes);
         let held = self.shared.driver().held();
-        let done = held == 0 && self.clients.all_answered() && self.shared.others_answered(self.core);
+        let done = held == 0 && self.clients.all_gone() && self.shared.others_gone(self.core);
         let deaf = match &mut self.news {
             Some(news) => {
                 let change = news.life.tend(now, news.discovery.heard, done);
@@ -535,7 +555,7 @@
             self.clients.stop_listening();
         }
         if !self.clients.listens() {
-            self.clients.close_idle();
+            self.clients.close_idle(now);
         }
     }
 
@@ -785,9 +805,9 @@
             }
             Command::CloseIdle(machine) => self.machines.close_idle(machine),
             Command::Subscribe(want) => {
-                if let Some(news) = &mut self.news {
-                    news.discovery.subscribe(want);
-                }
+                let Some(news) = &mut self.news else { return };
+                let fleet = news.discovery.subscribe(want, now);
+                self.fleet(fleet);
             }
             Command::AskFleet => {
                 let Some(news) = &mut self.news else { return };
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -13,7 +13,7 @@
 use crate::call::{Ask, Call, CallEnd};
 use crate::extras::Agreement;
 use crate::ready::{ConnId, ConnIds, Handle, Who};
-use crate::watch::Watch;
+use crate::watch::{self, Watch};
 
 /// Longest answer to a verdict; it is a line.
 const ANSWER_MOST: usize = 4 * 1024;
@@ -109,12 +109,12 @@
 
 impl Link {
     /// A link of the front of this name. Its votes stand at the platform for `vote_life`.
-    pub fn new(agreement: &Agreement, name: &str, vote_life: Micros) -> Self {
+    pub fn new(agreement: &Agreement, name: &str, vote_life: Micros, seed: u64) -> Self {
         Link {
             name: name.to_owned(),
             agent: agreement.agent,
             wait: agreement.wait(),
-            watch: Watch::new("agent", agreement.agent, agreement.silence()),
+            watch: Watch::new("agent", agreement.agent, (agreement.silence(), agreement.silence()), seed),
             calls: Vec::new(),
             ballots: Ballots::new(vote_life),
             reconnects: 0,
@@ -196,10 +196,8 @@
         let before = self.ballots.joined();
         let mut steps = Vec::new();
         let name = &self.name;
-        if self.watch.tend(handle, ids, Who::Agent, now, || format!("/v1/watch?front={name}")) {
-            self.reconnects += 1;
-            steps.extend(self.ballots.silent(now));
-        }
+        let heard = self.watch.tend(handle, ids, Who::Agent, now, || format!("/v1/watch?front={name}"));
+        self.heard(heard, now, &mut steps);
         let late: Vec<(CallEnd, Vote)> =
             self.calls.iter().filter_map(|(call, vote)| Some((call.late(now)?, *vote))).collect();
         if !late.is_empty() {
@@ -232,23 +230,27 @@
             }
         } else {
             let heard = self.watch.ready(id, readiness, now);
-            for line in heard.lines {
-                match serde_json::from_slice::<Told>(&line) {
-                    Ok(told) => steps.extend(self.ballots.heard(now, told.into())),
-                    Err(e) => {
-                        self.watch.lose(now, &format!("a line that can't be read: {e}"));
-                        self.reconnects += 1;
-                        steps.extend(self.ballots.silent(now));
-                        break;
-                    }
-                }
-            }
-            if heard.lost {
-                self.reconnects += 1;
-                steps.extend(self.ballots.silent(now));
-            }
+            self.heard(heard, now, &mut steps);
         }
         self.log_change(before);
         self.tell(handle, ids, now, steps)
     }
+
+    fn heard(&mut self, heard: watch::Heard, now: Micros, steps: &mut Vec<Step>) {
+        let mut lost = heard.lost;
+        for line in heard.told() {
+            match serde_json::from_slice::<Told>(line) {
+                Ok(told) => steps.extend(self.ballots.heard(now, told.into())),
+                Err(e) => {
+                    self.watch.lose(now, &format!("a line that can't be read: {e}"));
+                    lost = true;
+                    break;
+                }
+            }
+        }
+        if lost {
+            self.reconnects += 1;
+            steps.extend(self.ballots.silent(now));
+        }
+    }
 }
--- a/crates/front/src/machines.rs
+++ b/crates/front/src/machines.rs
@@ -26,6 +26,9 @@
 const IDLE_PART: f64 = 0.8;
 /// Longest wait for the answer to a probe; it is a few bytes.
 const PROBE_WAIT: Micros = SECOND;
+/// A connection rests for so long after an answer: a second answer to the same request may come some milliseconds late,
+/// and the next request, another customer's, would take it for its own.
+const REST: Micros = 10 * MS;
 /// A stream without a byte for so long is dead.
 const STREAM_SILENCE: Micros = 60 * SECOND;
 
@@ -57,9 +60,17 @@
     paused: bool,
 }
 
+impl Link {
+    /// Whether whatever belongs to the last answer has surely come.
+    fn rested(&self, now: Micros) -> bool {
+        now >= self.idle_since + REST
+    }
+}
+
 #[derive(Default)]
 struct Endpoint {
     address: Option<SocketAddr>,
+    build: Build,
     generation: u64,
     idle: Vec<ConnId>, // the newest last
 }
@@ -164,22 +175,42 @@
     }
 
     /// News of where a machine listens. Kept connections to another process than that are dropped; what is
-    /// under way on one ends by itself.
-    pub fn place(&mut self, place: &Place) {
-        if place.address.is_none() {
+    /// under way on one ends by itself, unless it has not begun: that was decided on what is no longer so.
+    pub fn place(&mut self, place: &Place, now: Micros, notes: &mut Vec<Note>) {
+        let Some(address) = place.address else {
             // Nothing is kept for a machine that is gone; what is under way there ends by itself.
             self.close_idle(place.machine);
             self.endpoints.remove(&place.machine);
-            return;
-        }
+            return self.recall(now, notes, |link| link.machine == place.machine);
+        };
         let endpoint = self.endpoints.entry(place.machine).or_default();
-        let same = endpoint.address == place.address && !place.renewed;
-        endpoint.address = place.address;
+        let same = endpoint.address == Some(address) && !place.renewed;
+        (endpoint.address, endpoint.build) = (Some(address), place.build);
         if !same {
             self.generations += 1;
             endpoint.generation = self.generations;
             self.close_idle(place.machine);
         }
+        if !same || place.drains {
+            self.recall(now, notes, |link| link.machine == place.machine);
+        }
+    }
+
+    /// Takes back the attempts at a build of which less may be sent from now on, where none of their bytes has left.
+    pub fn recall_build(&mut self, build: Build, now: Micros, notes: &mut Vec<Note>) {
+        let of_build = self.endpoints.iter().filter(|(_, e)| e.build == build).map(|(machine, _)| *machine);
+        let machines: BTreeSet<MachineId> = of_build.collect();
+        self.recall(now, notes, |link| machines.contains(&link.machine));
+    }
+
+    /// Takes back attempts whose connection is not up yet: they would be sent whenever it comes up, to a machine that
+    /// takes nothing new by then, or to another process than the one chosen. They are decided anew.
+    fn recall(&mut self, now: Micros, notes: &mut Vec<Note>, which: impl Fn(&Link) -> bool) {
+        let waits = |l: &Link| l.under_way.as_ref().is_some_and(|u| !u.exchange.connected());
+        let mut back: Vec<ConnId> =
+            self.links.iter().filter(|(_, l)| waits(l) && which(l)).map(|(id, _)| *id).collect();
+        back.sort_unstable(); // in the order in which they were decided
+        back.into_iter().for_each(|id| self.end(id, Outcome::Unsent, None, now, notes));
     }
 
     /// Starts an attempt. An error is the outcome of one that could not start.
@@ -222,8 +253,10 @@
     }
 
     /// Whether an exchange with this machine needs no new connection.
-    pub fn has_idle(&self, machine: MachineId) -> bool {
-        self.endpoints.get(&machine).is_some_and(|e| !e.idle.is_empty())
+    pub fn has_idle(&self, machine: MachineId, now: Micros) -> bool {
+        // The first one has rested for longest.
+        let first = self.endpoints.get(&machine).and_then(|e| e.idle.first());
+        first.and_then(|id| self.links.get(id)).is_some_and(|l| l.rested(now))
     }
 
     fn start(
@@ -277,11 +310,15 @@
         Ok(())
     }
 
-    /// Takes the newest kept connection that is surely open still.
+    /// Takes the newest kept connection that has rested and is surely open still.
     fn kept(&mut self, machine: MachineId, now: Micros) -> Option<(ConnId, Link)> {
         let keep = self.keep();
         let endpoint = self.endpoints.get_mut(&machine)?;
-        while let Some(id) = endpoint.idle.pop() {
+        let rested = |id: &ConnId| self.links.get(id).is_none_or(|l| l.rested(now));
+        let mut most = endpoint.idle.iter().rposition(rested).map_or(0, |last| last + 1);
+        while most > 0 {
+            most -= 1;
+            let id = endpoint.idle.remove(most);
             let link = self.links.remove(&id);
             if let Some(link) = link.filter(|l| l.conn.quiet() && now < l.idle_since + keep) {
                 return Some((id, link));
@@ -407,9 +444,15 @@
     /// Gives up the exchanges whose time, or whose time to connect, is over.
     pub fn late(&mut self, now: Micros, notes: &mut Vec<Note>) {
         while self.due().is_some_and(|at| at <= now) {
-            let Some((_, id)) = self.due.pop_first() else { return };
+            let Some((due, id)) = self.due.pop_first() else { return };
+            let sent = |l: &&mut Link| l.under_way.as_ref().is_some_and(|u| u.exchange.sent());
+            if let Some(link) = self.links.get_mut(&id).filter(sent) {
+                // What lies there came in time, though the loop has not told of it yet.
+                link.conn.look();
+                self.go_on(id, now, notes);
+            }
             let Some(link) = self.links.get_mut(&id) else { continue };
-            let Some(under_way) = &mut link.under_way else { continue };
+            let Some(under_way) = link.under_way.as_mut().filter(|u| u.due == due) else { continue };
             if under_way.begun && link.paused {
                 under_way.until = now + STREAM_SILENCE; // it is its client that is slow
             }
@@ -522,6 +565,187 @@
         }
     }
 
+    const NOW: Micros = 1_000 * SECOND;
+    const LATER: Micros = NOW + 5 * SECOND;
+
+    /// Connections to one machine, whose every byte the test writes; the clock is the test's.
+    struct Stand {
+        event_loop: calloop::EventLoop<'static, crate::ready::Ready>,
+        machine: std::net::TcpListener,
+        machines: Machines,
+        ids: ConnIds,
+        notes: Vec<Note>,
+        request: Request,
+    }
+
+    impl Stand {
+        fn new() -> Stand {
+            let machine = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let mut ring = Ring::new(4096);
+            ring.push(b"GET /look HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\n\r\n").expect("room");
+            let read = garnetcrank_http::RequestReader::new(10).read(&mut ring);
+            let Ok(Parsing::Done(request)) = read else { panic!("no request") };
+            let transport = Transport {
+                conn_idle: 30 * SECOND,
+                connect_timeout: SECOND,
+                most_held: None,
+                report_columns: Vec::new(),
+            };
+            let event_loop = calloop::EventLoop::try_new().expect("a loop");
+            let (machines, ids) = (Machines::new(transport), ConnIds::default());
+            let mut stand = Stand { event_loop, machine, machines, ids, notes: Vec::new(), request };
+            stand.told(stand.there());
+            stand
+        }
+
+        fn there(&self) -> Place {
+            let address = Some(self.machine.local_addr().expect("an address"));
+            Place { machine: MachineId(1), address, renewed: false, drains: false, build: Build(7) }
+        }
+
+        fn told(&mut self, place: Place) {
+            self.machines.place(&place, NOW, &mut self.notes);
+        }
+
+        fn attempt(&mut self, id: u32, now: Micros) {
+            let (id, machine, until) = (RequestId(id), MachineId(1), now + 4 * SECOND);
+            let job = Job { id, attempt: 0, machine, request: &self.request, until, streamed: false };
+            let handle = self.event_loop.handle();
+            self.machines.attempt(&handle, &mut self.ids, now, &job, &mut self.notes).expect("it starts");
+        }
+
+        /// The machine's end of the newest connection, once the request is there.
+        fn accept(&mut self) -> std::net::TcpStream {
+            let (mut stream, _) = self.machine.accept().expect("a connection");
+            stream.set_read_timeout(Some(std::time::Duration::from_secs(30))).expect("a limit");
+            self.tell(NOW);
+            hear(&mut stream);
+            stream
+        }
+
+        /// The loop tells that something is there.
+        fn tell(&mut self, now: Micros) {
+            let ids: Vec<ConnId> = self.machines.links.keys().copied().collect();
+            let readiness = Readiness { readable: true, writable: true, error: false };
+            ids.into_iter().for_each(|id| self.machines.ready(id, readiness, now, &mut self.notes));
+        }
+
+        /// Waits until bytes lie at a connection; nobody is told.
+        fn until_there(&self) {
+            while self.machines.links.values().all(|l| l.conn.quiet()) {
+                std::thread::yield_now();
+            }
+        }
+
+        fn ends(&mut self) -> Vec<(u32, Outcome)> {
+            let end = |note| match note {
+                Note::Ended { id, outcome, .. } => (id.0, outcome),
+                other => panic!("{other:?}"),
+            };
+            self.notes.drain(..).map(end).collect()
+        }
+    }
+
+    fn hear(stream: &mut std::net::TcpStream) {
+        use std::io::Read;
+        let mut request = [0; 512];
+        assert!(stream.read(&mut request).expect("a request") > 0);
+    }
+
+    fn say(stream: &mut std::net::TcpStream, text: &str) {
+        use std::io::Write;
+        stream.write_all(text.as_bytes()).expect("sent");
+    }
+
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+    #[test]
+    fn an_attempt_that_waits_for_its_connection_is_taken_back_when_its_machine_changes() {
+        let elsewhere = Some("127.0.0.1:1".parse().expect("an address"));
+        let changes: [fn(Place, Option<SocketAddr>) -> Place; 4] = [
+            |place, _| Place { drains: true, ..place },
+            |place, _| Place { address: None, drains: true, renewed: true, ..place },
+            |place, _| Place { renewed: true, build: Build(8), ..place },
+            |place, elsewhere| Place { address: elsewhere, ..place },
+        ];
+        for change in changes {
+            let mut stand = Stand::new();
+            stand.attempt(1, NOW);
+            let mut sent = stand.accept();
+            stand.attempt(2, NOW);
+            let (mut waits, _) = stand.machine.accept().expect("a connection");
+            stand.told(stand.there());
+            assert!(stand.ends().is_empty(), "a list that says nothing new");
+            stand.told(change(stand.there(), elsewhere));
+            assert_eq!(stand.ends(), [(2, Outcome::Unsent)], "what was sent goes on");
+            assert_eq!(std::io::Read::read(&mut waits, &mut [0; 8]).expect("its end"), 0, "nothing was sent");
+            say(&mut sent, ANSWER);
+            stand.until_there();
+            stand.tell(NOW);
+            assert_eq!(stand.ends(), [(1, Outcome::Served)]);
+        }
+    }
+
+    #[test]
+    fn a_lower_cap_takes_back_what_waits_for_a_connection_to_that_build_alone() {
+        let mut stand = Stand::new();
+        stand.attempt(1, NOW);
+        stand.machines.recall_build(Build(6), NOW, &mut stand.notes);
+        assert!(stand.ends().is_empty());
+        stand.machines.recall_build(Build(7), NOW, &mut stand.notes);
+        assert_eq!(stand.ends(), [(1, Outcome::Unsent)]);
+        assert!(stand.machines.due().is_none() && stand.machines.len() == 0, "something is kept for it");
+    }
+
+    #[test]
+    fn a_second_answer_that_comes_late_is_never_the_next_request_s() {
+        let mut stand = Stand::new();
+        stand.attempt(1, NOW);
+        let mut first = stand.accept();
+        say(&mut first, ANSWER);
+        stand.until_there();
+        stand.tell(NOW);
+        assert_eq!(stand.ends(), [(1, Outcome::Served)]);
+        // The next request comes before the second answer: it goes on a connection of its own.
+        stand.attempt(2, NOW + REST - 1);
+        assert_eq!((stand.machines.opened, stand.machines.reused), (2, 0));
+        let mut second = stand.accept();
+        say(&mut first, ANSWER);
+        stand.until_there();
+        stand.tell(NOW + REST - 1);
+        assert!(stand.ends().is_empty(), "it was taken for the answer to the second request");
+        assert_eq!(stand.machines.len(), 1, "a connection with more on it than was asked is closed");
+        say(&mut second, ANSWER);
+        stand.until_there();
+        stand.tell(NOW + REST);
+        assert_eq!(stand.ends(), [(2, Outcome::Served)]);
+        // One that has rested is used again.
+        stand.attempt(3, NOW + 2 * REST);
+        assert_eq!((stand.machines.opened, stand.machines.reused), (2, 1));
+        hear(&mut second);
+    }
+
+    #[test]
+    fn an_answer_that_lies_there_at_the_end_of_its_time_came_in_time() {
+        let mut stand = Stand::new();
+        stand.attempt(1, NOW);
+        let mut machine = stand.accept();
+        say(&mut machine, ANSWER);
+        stand.until_there();
+        stand.machines.late(LATER, &mut stand.notes);
+        assert_eq!(stand.ends(), [(1, Outcome::Served)]);
+        // What could not be sent in time is not sent at the end of it.
+        stand.attempt(2, LATER + REST);
+        hear(&mut machine);
+        stand.machines.late(LATER + 5 * SECOND, &mut stand.notes);
+        assert_eq!(stand.ends(), [(2, Outcome::TimedOut)]);
+        stand.attempt(3, LATER);
+        let (mut waits, _) = stand.machine.accept().expect("a connection");
+        stand.machines.late(LATER + 5 * SECOND, &mut stand.notes);
+        assert_eq!(stand.ends(), [(3, Outcome::Unreached)]);
+        assert_eq!(std::io::Read::read(&mut waits, &mut [0; 8]).expect("its end"), 0);
+    }
+
     #[test]
     fn only_a_marked_refusal_proves_that_nothing_ran() {
         for (head, expected) in [
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -52,6 +52,15 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     logs::start();
+    // Before all else: a signal that comes while the configuration is read waits, and ends nothing.
+    let watched = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1];
+    let signals = match Signals::new(&watched) {
+        Ok(signals) => signals,
+        Err(e) => {
+            error!("signals can't be watched: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let process = match Process::read(|name| std::env::var(name).ok()) {
         Ok(process) => process,
         Err(message) => {
@@ -68,7 +77,7 @@
             return ExitCode::from(CONFIGURATION);
         }
     };
-    match run(process, &extras) {
+    match run(process, &extras, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             error!("{message}");
@@ -77,12 +86,10 @@
     }
 }
 
-fn run(process: Process, extras: &Extras) -> Result<(), String> {
+fn run(process: Process, extras: &Extras, signals: Signals) -> Result<(), String> {
     let mut event_loop: EventLoop<'static, Ready> =
         EventLoop::try_new().map_err(|e| format!("the event loop can't be made: {e}"))?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
-        .map_err(|e| format!("signals can't be watched: {e}"))?;
     let noted = |event: calloop::signals::Event, _: &mut (), ready: &mut Ready| {
         ready.asked.push(match event.signal() {
             Signal::SIGUSR1 => Asked::Counters,
--- a/crates/front/src/phase.rs
+++ b/crates/front/src/phase.rs
@@ -9,9 +9,14 @@
 const START_WAIT: Micros = 500 * MS;
 /// How long clients may still arrive after the word to stop: those who send them need to notice.
 const ARRIVALS: Micros = 550 * MS;
-/// Longest time to finish what is held, beyond the last arrivals. Requests have deadlines of their own, only
-/// streams can take longer.
+/// Longest time to finish what is held, beyond the last arrivals. Requests are answered by then, only streams that have
+/// begun can take longer.
 const FINISH: Micros = 10 * SECOND;
+/// The process may be killed so long after the longest deadline, which counts as this at the most.
+const KILLED: Micros = 700 * MS;
+const DEADLINE_MOST: Micros = 3 * SECOND;
+/// Answers are written so long before that: they travel, and the process may be made to wait.
+const BEFORE_KILLED: Micros = 100 * MS;
 
 /// Where the process stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,12 +40,15 @@
 #[derive(Debug)]
 pub struct Life {
     phase: Phase,
+    /// After the word to stop, all answers are given within this.
+    answers_within: Micros,
 }
 
 impl Life {
-    /// A process that starts now.
-    pub fn start(now: Micros) -> Self {
-        Life { phase: Phase::Starting { since: now } }
+    /// A process that starts now, with this longest deadline of a request.
+    pub fn start(now: Micros, longest: Micros) -> Self {
+        let answers_within = longest.min(DEADLINE_MOST) + KILLED - BEFORE_KILLED;
+        Life { phase: Phase::Starting { since: now }, answers_within }
     }
 
     /// Whether it may be sent clients.
@@ -63,14 +71,14 @@
         self.phase == Phase::Stopped
     }
 
-    /// The word to stop. False if it has come before.
-    pub fn stop(&mut self, now: Micros) -> bool {
+    /// The word to stop: by when every answer must be given, whatever is held or comes. None if it has come before.
+    pub fn stop(&mut self, now: Micros) -> Option<Micros> {
         if self.stopping() {
-            return false;
+            return None;
         }
         info!("draining: finishing what is held");
         self.phase = Phase::Draining { since: now, listening: true };
-        true
+        Some(now + self.answers_within)
     }
 
     /// Goes on to the next phase where that is due. `heard`: discovery has told its list; `done`: nothing is
@@ -101,14 +109,14 @@
 
     #[test]
     fn a_life_from_start_to_exit() {
-        let mut life = Life::start(0);
+        let mut life = Life::start(0, 900 * MS);
         assert!(!life.serving());
         life.tend(MS, false, true);
         assert!(!life.serving(), "the list may still come");
         life.tend(2 * MS, true, true);
         assert!(life.serving());
-        assert!(life.stop(SECOND));
-        assert!(!life.stop(SECOND), "told once is enough");
+        assert_eq!(life.stop(SECOND), Some(2_500 * MS));
+        assert_eq!(life.stop(2 * SECOND), None, "told once is enough");
         assert_eq!(life.tend(SECOND + MS, true, true), Change::None, "clients still arrive");
         assert!(life.listening() && life.stopping());
         assert_eq!(life.tend(2 * SECOND, true, false), Change::StopListening);
@@ -119,9 +127,19 @@
         assert!(life.stopped());
     }
 
+    #[test]
+    fn answers_are_given_before_the_process_may_be_killed() {
+        for (longest, killed) in
+            [(0, 700 * MS), (350 * MS, 1_050 * MS), (3 * SECOND, 3_700 * MS), (9 * SECOND, 3_700 * MS)]
+        {
+            let by = Life::start(0, longest).stop(0).expect("the first word to stop");
+            assert!(by < killed && by > ARRIVALS, "{by} us of {killed}");
+        }
+    }
+
     #[test]
     fn without_a_word_of_discovery_it_serves_on_what_it_knows() {
-        let mut life = Life::start(0);
+        let mut life = Life::start(0, 900 * MS);
         life.tend(START_WAIT, false, true);
         assert!(life.serving());
     }
--- a/crates/front/src/platform.rs
+++ b/crates/front/src/platform.rs
@@ -11,7 +11,7 @@
 use crate::call::{Ask, Call, CallEnd};
 use crate::clock::{MS, SECOND};
 use crate::ready::{ConnId, ConnIds, Handle, Who};
-use crate::watch::Watch;
+use crate::watch::{FIRST_WORD, Heard, Watch};
 
 /// Silence after which the stream of news is dead: three of its signs of life, one a second.
 const SILENCE: Micros = 3_500 * MS;
@@ -98,10 +98,10 @@
 
 impl Platform {
     /// A view that knows nothing yet.
-    pub fn new(address: SocketAddr, vote_wait: Micros) -> Self {
+    pub fn new(address: SocketAddr, vote_wait: Micros, seed: u64) -> Self {
         Platform {
             address,
-            watch: Watch::new("platform", address, SILENCE),
+            watch: Watch::new("platform", address, (SILENCE, FIRST_WORD), seed),
             votes: Vec::new(),
             vote_wait: if vote_wait > 0 { vote_wait } else { SECOND },
             known: None,
@@ -127,11 +127,15 @@
 
     /// The configuration was read again. What stands there counts only if it is newer; the next connections
     /// go to the new address, while votes under way end on theirs.
-    pub fn renew(&mut self, address: SocketAddr, state: State, now: Micros) -> Option<Stage> {
+    pub fn renew(&mut self, address: SocketAddr, state: State, now: Micros) -> Vec<Event> {
         self.address = address;
-        self.watch.retarget(address);
+        let last = self.watch.retarget(address, now);
+        let mut events = self.heard(last, now);
         let held = self.known.map(|(known, _)| known.order());
-        if held.is_none_or(|held| state.order() > held) { self.news(state, now) } else { None }
+        if held.is_none_or(|held| state.order() > held) {
+            events.extend(self.news(state, now).map(Event::Stage));
+        }
+        events
     }
 
     /// Whether nothing is to be done but to listen.
@@ -179,8 +183,8 @@
 
     /// Connects where that is due, and gives up what has been silent for too long.
     pub fn tend(&mut self, handle: &Handle, ids: &mut ConnIds, now: Micros) -> Vec<Event> {
-        let lost = self.watch.tend(handle, ids, Who::Platform, now, || "/events".to_owned());
-        self.reconnects += u64::from(lost);
+        let heard = self.watch.tend(handle, ids, Who::Platform, now, || "/events".to_owned());
+        let mut events = self.heard(heard, now);
         let mut ends = Vec::new();
         self.votes.retain(|(vote, origin)| {
             let end = vote.late(now);
@@ -188,7 +192,8 @@
             ends.extend(end.map(|end| (end, *origin)));
             goes_on
         });
-        ends.into_iter().filter_map(|(end, origin)| self.answered(end, origin, now)).collect()
+        events.extend(ends.into_iter().filter_map(|(end, origin)| self.answered(end, origin, now)));
+        events
     }
 
     /// Takes what has come on one of its connections.
@@ -199,10 +204,15 @@
             return self.answered(end, origin, now).into_iter().collect();
         }
         let heard = self.watch.ready(id, readiness, now);
+        self.heard(heard, now)
+    }
+
+    /// What the stream of news has to say.
+    fn heard(&mut self, heard: Heard, now: Micros) -> Vec<Event> {
         self.reconnects += u64::from(heard.lost);
         let mut events = Vec::new();
-        for line in heard.lines {
-            match self.told(&line, now) {
+        for line in heard.told() {
+            match self.told(line, now) {
                 Ok(stage) => events.extend(stage.map(Event::Stage)),
                 Err(e) => {
                     warn!("platform: {e}");
@@ -272,7 +282,7 @@
     use super::*;
 
     fn platform() -> Platform {
-        Platform::new("127.0.0.1:1".parse().expect("an address"), SECOND)
+        Platform::new("127.0.0.1:1".parse().expect("an address"), SECOND, 7)
     }
 
     fn state(release: u32, tranche: usize, mode: Mode, exposure: f64, old_ms: f64) -> State {
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
+use fastrand::Rng;
 use garnetcrank::interface::Micros;
 use garnetcrank_http::{StreamReader, write_request};
 use tracing::{info, warn};
@@ -11,11 +12,15 @@
 use crate::conn::Conn;
 use crate::ready::{ConnId, ConnIds, Handle, Who};
 
-/// First wait before a lost connection is made anew, doubled each time ...
+/// Longest first wait before a lost connection is made anew, doubled each time; from half of it on, lest all fronts come
+/// back in step ...
 const AGAIN_FIRST: Micros = 100 * MS;
 /// ... up to this: the other side may be overloaded, and what it tells is wanted within four seconds, over
 /// a few connections that are spoilt one after another.
 const AGAIN_MOST: Micros = 800 * MS;
+/// One that speaks at once where it is alive: a connection without a word for so long is mute. What it has to tell counts
+/// soon after, whether or not it arrived, so a mute connection must leave time for two more.
+pub const FIRST_WORD: Micros = 1_000 * MS;
 /// A connection that has not come up within this never will: it is made anew.
 const CONNECT_MOST: Micros = 1_000 * MS;
 /// Room for what has come and is not yet taken apart.
@@ -36,6 +41,8 @@
     name: &'static str,
     to: SocketAddr,
     silence: Micros,
+    first_word: Micros,
+    rng: Rng,
     open: Option<Open>,
     heard: Micros,
     again_at: Micros,
@@ -45,16 +52,30 @@
 /// What a watch has to say.
 #[derive(Debug, Default)]
 pub struct Heard {
-    /// Lines, empty ones left out.
+    /// Lines, empty ones (signs of life) among them.
     pub lines: Vec<Vec<u8>>,
     /// The connection was lost.
     pub lost: bool,
 }
 
+impl Heard {
+    /// The lines that say something.
+    pub fn told(&self) -> impl Iterator<Item = &[u8]> {
+        self.lines.iter().map(Vec::as_slice).filter(|l| !l.trim_ascii().is_empty())
+    }
+}
+
 impl Watch {
-    /// A watch that connects when first tended. Nothing heard for `silence` means that it is dead.
-    pub fn new(name: &'static str, to: SocketAddr, silence: Micros) -> Self {
-        Watch { name, to, silence, open: None, heard: 0, again_at: 0, wait: AGAIN_FIRST }
+    /// A watch that connects when first tended. Nothing heard for `silence`, or for `first_word` on a new connection,
+    /// means that it is dead.
+    pub fn new(
+        name: &'static str,
+        to: SocketAddr,
+        (silence, first_word): (Micros, Micros),
+        seed: u64,
+    ) -> Self {
+        let rng = Rng::with_seed(seed);
+        Watch { name, to, silence, first_word, rng, open: None, heard: 0, again_at: 0, wait: AGAIN_FIRST }
     }
 
     /// Whether a connection stands and has told something.
@@ -62,17 +83,21 @@
         self.open.as_ref().is_some_and(|open| open.told)
     }
 
-    /// Drops the connection; the next one may be made at once.
-    pub fn close(&mut self) {
+    /// Drops the connection; the next one may be made at once. What the old one has told and nobody has read yet counts
+    /// as told, so it is returned.
+    pub fn close(&mut self, now: Micros) -> Heard {
+        let last = self.look(now);
         (self.open, self.again_at) = (None, 0);
+        Heard { lost: false, ..last }
     }
 
-    /// The source is at another address from now on: the old connection is let go.
-    pub fn retarget(&mut self, to: SocketAddr) {
-        if self.to != to {
-            (self.to, self.wait) = (to, AGAIN_FIRST);
-            self.close();
+    /// The source is at another address from now on: the old connection is let go, after its last words.
+    pub fn retarget(&mut self, to: SocketAddr, now: Micros) -> Heard {
+        if self.to == to {
+            return Heard::default();
         }
+        (self.to, self.wait) = (to, AGAIN_FIRST);
+        self.close(now)
     }
 
     /// Gives the connection up, for a reason that on-call should know.
@@ -83,12 +108,13 @@
     }
 
     fn later(&mut self, now: Micros, reason: &str) {
-        warn!("{}: {reason}; connecting anew in {} ms", self.name, self.wait / MS);
-        self.again_at = now + self.wait;
+        let wait = self.rng.u64(self.wait / 2..=self.wait);
+        warn!("{}: {reason}; connecting anew in {} ms", self.name, wait / MS);
+        self.again_at = now + wait;
         self.wait = (self.wait * 2).min(AGAIN_MOST);
     }
 
-    /// Connects where that is due. True when a connection was given up or could not be started.
+    /// Connects where that is due. Lost when a connection was given up or could not be started.
     pub fn tend(
         &mut self,
         handle: &Handle,
@@ -96,18 +122,26 @@
         who: fn(ConnId) -> Who,
         now: Micros,
         target: impl FnOnce() -> String,
-    ) -> bool {
+    ) -> Heard {
         if let Some(open) = &self.open {
-            let reason = match open.up {
-                false if now >= self.heard + CONNECT_MOST => "cannot connect: it never came up",
-                _ if now >= self.heard + self.silence => "no sign of life",
-                _ => return false,
+            let (limit, reason) = match (open.up, open.told) {
+                (false, _) => (CONNECT_MOST, "cannot connect: it never came up"),
+                (true, false) => (self.first_word, "not a word on a new connection"),
+                (true, true) => (self.silence, "no sign of life"),
             };
+            if now < self.heard + limit {
+                return Heard::default();
+            }
+            // This process may have stood still for as long, and the word may lie there.
+            let last = self.look(now);
+            if last.lost || now < self.heard + limit {
+                return last;
+            }
             self.lose(now, reason);
-            return true;
+            return Heard { lost: true, ..last };
         }
         if now < self.again_at {
-            return false;
+            return Heard::default();
         }
         let id = ids.next();
         let host = self.to.to_string();
@@ -122,11 +156,11 @@
             Ok(conn) => {
                 let reader = StreamReader::new(LINE_MOST);
                 self.open = Some(Open { id, conn, reader, up: false, told: false });
-                false
+                Heard::default()
             }
             Err(e) => {
                 self.later(now, &format!("cannot connect: {e}"));
-                true
+                Heard { lines: Vec::new(), lost: true }
             }
         }
     }
@@ -135,10 +169,25 @@
     pub fn ready(&mut self, id: ConnId, readiness: Readiness, now: Micros) -> Heard {
         let Some(open) = self.open.as_mut().filter(|o| o.id == id) else { return Heard::default() };
         open.conn.note(readiness);
+        self.take(now)
+    }
+
+    /// Takes what has come and the loop has not told of yet.
+    fn look(&mut self, now: Micros) -> Heard {
+        if let Some(open) = &mut self.open {
+            open.conn.look();
+        }
+        self.take(now)
+    }
+
+    fn take(&mut self, now: Micros) -> Heard {
+        let Some(open) = &mut self.open else { return Heard::default() };
         let mut lines = Vec::new();
-        let trouble = open.take(&mut lines);
+        let (came, trouble) = open.take(&mut lines);
+        if came {
+            self.heard = now; // half a list is a sign of life, too
+        }
         if !lines.is_empty() {
-            self.heard = now;
             self.wait = AGAIN_FIRST;
             if !std::mem::replace(&mut open.told, true) {
                 info!("{}: connected", self.name);
@@ -147,14 +196,19 @@
         if let Some(reason) = &trouble {
             self.lose(now, reason);
         }
-        let lines = lines.into_iter().filter(|l| !l.trim_ascii().is_empty()).collect();
         Heard { lines, lost: trouble.is_some() }
     }
 }
 
 impl Open {
-    /// Adds all lines that have come; what ended the connection, if anything did.
-    fn take(&mut self, lines: &mut Vec<Vec<u8>>) -> Option<String> {
+    /// Adds all lines that have come: whether anything came, and what ended the connection, if anything did.
+    fn take(&mut self, lines: &mut Vec<Vec<u8>>) -> (bool, Option<String>) {
+        let mut came = false;
+        let trouble = self.read(&mut came, lines);
+        (came, trouble)
+    }
+
+    fn read(&mut self, came: &mut bool, lines: &mut Vec<Vec<u8>>) -> Option<String> {
         if !self.up {
             match self.conn.connected() {
                 Ok(true) => self.up = true,
@@ -162,11 +216,12 @@
                 Err(e) => return Some(format!("cannot connect: {e}")),
             }
         }
-        if let Err(e) = self.conn.flush() {
-            return Some(format!("connection lost: {e}"));
-        }
+        // What it told before it broke stands: it is read first.
+        let broke = self.conn.flush().err();
         loop {
-            let ended = self.conn.fill();
+            let before = self.conn.input.len();
+            let ended = self.conn.fill() || broke.is_some() && !self.conn.more_to_read();
+            *came |= self.conn.input.len() > before;
             match self.reader.read(&mut self.conn.input, ended, lines) {
                 Ok(over) => {
                     if let Some(status) = self.reader.status().filter(|s| *s != 200) {
@@ -180,8 +235,162 @@
                 Err(e) => return Some(format!("what came can't be read: {e}")),
             }
             if !self.conn.more_to_read() {
-                return None;
+                return broke.map(|e| format!("connection lost: {e}"));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clock::SECOND;
+    use crate::ready::Ready;
+    use calloop::EventLoop;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+
+    const SILENCE: Micros = 3 * SECOND;
+
+    /// A watch on a peer whose every byte the test writes, and a clock that the test moves.
+    struct Stand {
+        event_loop: EventLoop<'static, Ready>,
+        peer: TcpListener,
+        watch: Watch,
+        ids: ConnIds,
+        now: Micros,
+        /// When connections were begun.
+        begun: Vec<Micros>,
+    }
+
+    impl Stand {
+        fn new(seed: u64) -> Stand {
+            let peer = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let watch =
+                Watch::new("test", peer.local_addr().expect("an address"), (SILENCE, FIRST_WORD), seed);
+            let event_loop = EventLoop::try_new().expect("a loop");
+            Stand { event_loop, peer, watch, ids: ConnIds::default(), now: 100 * SECOND, begun: Vec::new() }
+        }
+
+        fn tend(&mut self) -> Heard {
+            let before = self.watch.open.as_ref().map(|o| o.id);
+            let handle = self.event_loop.handle();
+            let heard = self.watch.tend(&handle, &mut self.ids, Who::Discovery, self.now, || "/w".to_owned());
+            let after = self.watch.open.as_ref().map(|o| o.id);
+            self.begun.extend((after.is_some() && after != before).then_some(self.now));
+            heard
+        }
+
+        /// The peer's end of the connection just made, once its request is there.
+        fn accept(&mut self) -> TcpStream {
+            let (mut stream, _) = self.peer.accept().expect("a connection");
+            self.heard(); // it is up, and the request leaves
+            let mut request = [0; 512];
+            assert!(stream.read(&mut request).expect("a request") > 0);
+            stream
+        }
+
+        /// What the watch takes when it is told that something is there.
+        fn heard(&mut self) -> Heard {
+            let id = self.watch.open.as_ref().expect("a connection").id;
+            self.watch.ready(id, Readiness { readable: true, writable: true, error: false }, self.now)
+        }
+
+        /// Connected, and told a first line.
+        fn told(seed: u64) -> (Stand, TcpStream) {
+            let mut stand = Stand::new(seed);
+            stand.tend();
+            let mut stream = stand.accept();
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nfirst\n\r\n")
+                .expect("sent");
+            until_there(&stand);
+            assert_eq!(stand.heard().lines, [b"first"]);
+            assert!(stand.watch.stands());
+            (stand, stream)
+        }
+    }
+
+    /// Waits until bytes lie at the watch's socket; the watch is not told.
+    fn until_there(stand: &Stand) {
+        let conn = &stand.watch.open.as_ref().expect("a connection").conn;
+        while conn.quiet() {
+            std::thread::yield_now();
+        }
+    }
+
+    #[test]
+    fn two_mute_connections_leave_time_for_a_third_in_every_order() {
+        // What is missed counts 6 s after the silence began, and 4 s after a move.
+        for (seed, up) in
+            (0..40).flat_map(|seed| [[true, true], [true, false], [false, false]].map(|up| (seed, up)))
+        {
+            for (moved, limit) in [(false, 6 * SECOND), (true, 4 * SECOND)] {
+                let (mut stand, _first) = Stand::told(seed);
+                let since = stand.now;
+                if moved {
+                    stand.peer = TcpListener::bind("127.0.0.1:0").expect("a port");
+                    let heard = stand.watch.retarget(stand.peer.local_addr().expect("an address"), stand.now);
+                    assert!(heard.lines.is_empty() && !heard.lost);
+                }
+                stand.begun.clear();
+                let mut mute = Vec::new();
+                while stand.begun.len() < 3 {
+                    let before = stand.begun.len();
+                    stand.tend();
+                    if stand.begun.len() > before && up.get(before) == Some(&true) {
+                        mute.push(stand.accept()); // up, and then not a word
+                    }
+                    stand.now += 100 * MS; // the longest rest of a sweep
+                }
+                let third = stand.begun[2] - since;
+                assert!(third + 200 * MS < limit, "{third} us, seed {seed}, {up:?}, moved {moved}");
             }
         }
     }
+
+    #[test]
+    fn what_was_told_before_the_address_moved_is_read() {
+        let (mut stand, mut stream) = Stand::told(1);
+        stream.write_all(b"5\r\nlast\n\r\n").expect("sent");
+        until_there(&stand);
+        let heard = stand.watch.retarget("127.0.0.1:1".parse().expect("an address"), stand.now);
+        assert_eq!(heard.lines, [b"last"]);
+        assert!(!heard.lost && stand.watch.open.is_none());
+    }
+
+    #[test]
+    fn a_process_that_stood_still_hears_what_lies_there_and_keeps_the_watch() {
+        let (mut stand, mut stream) = Stand::told(1);
+        stream.write_all(b"5\r\nlies\n\r\n").expect("sent");
+        until_there(&stand);
+        stand.now += 2 * SILENCE;
+        let heard = stand.tend();
+        assert_eq!(heard.lines, [b"lies"]);
+        assert!(!heard.lost && stand.watch.stands());
+        stand.now += SILENCE;
+        assert!(stand.tend().lost, "and then nothing more");
+    }
+
+    #[test]
+    fn what_was_told_before_the_connection_broke_is_read() {
+        let (mut stand, mut stream) = Stand::told(1);
+        stream.write_all(b"5\r\nlast\n\r\n").expect("sent");
+        drop(stream);
+        until_there(&stand);
+        let heard = stand.heard();
+        assert_eq!(heard.lines.first().map(Vec::as_slice), Some(&b"last"[..]));
+    }
+
+    #[test]
+    fn waits_differ_between_fronts_and_are_bounded() {
+        let mut waits = std::collections::BTreeSet::new();
+        for seed in 0..20 {
+            let (mut stand, _stream) = Stand::told(seed);
+            stand.watch.lose(stand.now, "a test");
+            waits.insert(stand.watch.again_at - stand.now);
+        }
+        assert!(waits.len() > 10, "in step: {waits:?}");
+        assert!(waits.iter().all(|w| (AGAIN_FIRST / 2..=AGAIN_FIRST).contains(w)), "{waits:?}");
+    }
 }
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -75,6 +75,8 @@
         assert!(text.contains(got.header("request-id").expect("an id")));
         let wait: u64 = got.header("request-timeout-ms").and_then(|t| t.parse().ok()).expect("a time");
         assert!((1..=5000).contains(&wait), "{wait} ms in round {round}");
+        // A connection rests after an answer, as a second one may come late; it is used again however long that takes.
+        std::thread::sleep(std::time::Duration::from_millis(50));
     }
     assert_eq!(machine.connections(), 1, "a kept connection is used again");
 }
@@ -178,7 +180,11 @@
 
 #[test]
 fn a_dead_machine_never_ran_anything_and_the_request_goes_elsewhere() {
-    let (dead, alive) = (free_address(), Machine::start(ok("yes")));
+    // Bound and not listening: refused for as long as the test runs, and nobody else's meanwhile.
+    let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    held.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let dead = held.local_addr().expect("an address").as_socket().expect("with a port");
+    let alive = Machine::start(ok("yes"));
     let (_discovery, _platform, plan) = around(&[dead, alive.address]);
     let front = Running::start(&plan);
     let mut client = front.client();
