--- a/crates/standins/src/front.rs
+++ b/crates/standins/src/front.rs
@@ -227,8 +227,6 @@
 struct SourceState {
     first: String,
     streams: Vec<TcpStream>,
-    /// Open, and never a byte on them.
-    mute: Vec<TcpStream>,
     asked: Vec<String>,
     votes: Vec<String>,
     vote_answer: (u16, String),
@@ -289,9 +287,7 @@
 
     /// Cuts all its connections.
     pub fn cut(&self) {
-        let mut state = lock(&self.shared);
-        let mute = std::mem::take(&mut state.mute);
-        for stream in state.streams.drain(..).chain(mute) {
+        for stream in lock(&self.shared).streams.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -326,7 +322,7 @@
         state.votes.push(String::from_utf8_lossy(&message.body).into_owned());
         let (status, body) = state.vote_answer.clone();
         if status == 0 {
-            return state.mute.push(stream);
+            return state.streams.push(stream); // open, and never answered
         }
         let _ = stream.write_all(&answer(status, "", body.as_bytes()));
     } else if !state.silent {
@@ -335,7 +331,7 @@
         let _ = stream.write_all(&chunk(&first));
         state.streams.push(stream);
     } else {
-        state.mute.push(stream);
+        state.streams.push(stream); // open, and nothing on it
     }
 }
 
