A front judges a build from fewer outcomes where many fronts must agree

A bad build that slows its machines is released at 34.5 s and stays: 25% of the requests are in time from 35 s on. Votes by share, nine tenths of the fronts silent: 89 On votes at a first stage in which 90 must stand at once.

Refusals and time-outs, not errors, from 35 s on; discovery and platform were connected at all fronts by 25 s; no vote was refused for room. Of 300 fronts each sees some three outcomes a second of the build at its last stage and one in two seconds at its first: ten of a class take 7 s, and what fails by time-outs counts only for 4 s after the earlier build's last outcome.

At fault: judge_class, ten outcomes whatever number of fronts must agree, where times already go by twenty over that number; judge, which calls a front silent though all classes together are judged.

Now both marks go by one rule: outcomes over the votes needed, four at the least. Where one vote is enough nothing changes. All classes together count as judged. TIMED_FROM is LEAST, as it holds for both.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 const SLOWER: f64 = 0.3; // logarithm by which a build must surely be slower to fail by its times: 1.35
 const SURELY: f64 = 2.5; // standard errors taken off a difference before it counts ...
 const AGREED: f64 = 0.5; // ... less so many by each e-fold of fronts that must agree before a build goes
-const TIMED_FROM: usize = 4; // comparable times below which a build is never judged by them
+const LEAST: usize = 4; // outcomes, or comparable times, below which a build is never judged
 const CHANCE: f64 = 0.5; // logarithm by which single times differ at the least, whatever a few show
 const PLAIN: f64 = 3.0; // errors that judge a class before its ten outcomes: no chance brings so many
 const SPREAD: f64 = 0.2; // logarithm by which good machines of a kind differ, by speed and by others' load
@@ -333,9 +333,9 @@
         let (n, lates) = (seen.len().min(most), share(seen, most, late));
         let bar = MARGIN * (RECENT as f64 / n as f64).sqrt();
         let bar = if record.failing_since[class].is_some() { bar * RECOVERED } else { bar };
-        let surely = (lates - self.surely().0 * (lates / n.min(RECENT) as f64).sqrt()).max(0.0);
+        let surely = (lates - self.surely() * (lates / n.min(RECENT) as f64).sqrt()).max(0.0);
         let wrongs = share(seen, most, wrong);
-        match n >= JUDGED_FROM || wrongs * n as f64 >= PLAIN {
+        match n >= self.enough(JUDGED_FROM) || wrongs * n as f64 >= PLAIN {
             false => Mark::Unjudged,
             true if wrongs + surely <= before + bar => Mark::Pass,
             true => breadth(seen.iter().map(|s| (s.machine, f64::from(u8::from(failed(s))))), 0.0),
@@ -347,12 +347,15 @@
         seen.filter(|s| s.at + ALIVE > self.now).filter_map(|s| Some((s.machine, s.slower?))).collect()
     }
 
-    /// How sure a front must be, and from how many times. Danger: a front with a handful of outcomes a stage
-    /// never is. Where many must agree they guard against its chance. Harm: a trouble misleads many alike.
-    fn surely(&self) -> (f64, usize) {
-        let votes = self.config.rollout.back_votes.max(1);
-        let enough = (RECENT / votes as usize).max(TIMED_FROM);
-        ((SURELY - AGREED * f64::from(votes).ln()).max(1.0), enough)
+    /// How sure a front must be. Danger: a front with a handful of outcomes a stage never is. Where many must
+    /// agree they guard against its chance. Harm: a trouble misleads many alike.
+    fn surely(&self) -> f64 {
+        (SURELY - AGREED * f64::from(self.config.rollout.back_votes.max(1)).ln()).max(1.0)
+    }
+
+    /// From how many outcomes a front judges, where one alone needs so many; for the same reason.
+    fn enough(&self, alone: usize) -> usize {
+        (alone / self.config.rollout.back_votes.max(1) as usize).max(LEAST)
     }
 
     /// Marks a build's times, all classes together: each outcome as its logarithm over the usual of its
@@ -366,10 +369,9 @@
         let error = new.chance(CHANCE).hypot(SPREAD * (1.0 / new.machines + 0.5).sqrt());
         // A failure starts once it is sure, and ends once it is not even likely.
         let failing = record.failing_since[self.config.classes.len() + 1].is_some();
-        let (surely, enough) = self.surely();
-        match new.count >= enough {
+        match new.count >= self.enough(RECENT) {
             false => Mark::Unjudged,
-            true if new.mean - if failing { 0.0 } else { surely * error } <= SLOWER => Mark::Pass,
+            true if new.mean - if failing { 0.0 } else { self.surely() * error } <= SLOWER => Mark::Pass,
             true => breadth(times.into_iter(), SLOWER),
         }
     }
@@ -381,7 +383,8 @@
     /// Exception: the stage moves on under the test, as news and holds travel. The build is withheld no more,
     /// and blamed if old and new are still slow 3 s after it was suspected. Harm: a trouble that came along.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
-        let (now, build, (surely, enough), dosed) = (self.now, stage.build, self.surely(), self.dosed());
+        let (now, build, dosed) = (self.now, stage.build, self.dosed());
+        let (surely, enough) = (self.surely(), self.enough(RECENT));
         let trial = stage.phase == Phase::Trial;
         let mut times = self.times(self.earlier(build).filter(|_| trial));
         times.extend(self.times(self.records.get(&build).filter(|_| trial && !dosed)));
@@ -439,7 +442,8 @@
         let mut marks: Vec<Mark> = (0..=classes).map(|c| self.judge_class(record, earlier, c)).collect();
         marks.extend([self.judge_times(record), fleet]);
         let record = self.record(build);
-        record.judged = marks[..classes].iter().any(|m| *m != Mark::Unjudged);
+        // All classes together count: a front with few outcomes would stay silent for good.
+        record.judged = marks[..=classes].iter().any(|m| *m != Mark::Unjudged);
         let mut sustained = None;
         for (i, mark) in marks.into_iter().enumerate() {
             // What the fleet showed has been running since the build was suspected.
@@ -671,7 +675,7 @@
     /// How slow a machine's zone is of late; nothing lately: no slower than usual, so that it is tried again.
     fn zone_pace(&self, id: MachineId) -> f64 {
         let pace = self.paces.get(&self.machines[&id].entry.zone);
-        pace.filter(|p| p.count >= TIMED_FROM as u32 && p.at + ALIVE > self.now).map_or(0.0, |p| p.mean)
+        pace.filter(|p| p.count >= LEAST as u32 && p.at + ALIVE > self.now).map_or(0.0, |p| p.mean)
     }
 
     fn load(&self, id: MachineId) -> f64 {
--- a/tests/votes.rs
+++ b/tests/votes.rs
@@ -169,3 +169,56 @@
     };
     assert_eq!(run(), run());
 }
+
+/// One instance of hundreds: so many votes must agree before a build goes.
+fn one_of_many(mode: VoteMode, back_votes: u32) -> Rig {
+    let mut config = config();
+    config.fronts = 300;
+    config.rollout.mode = mode;
+    config.rollout.back_votes = back_votes;
+    let mut rig = Rig::on_trial(config, fleet());
+    rig.send(Event::Stage(stage(NEW, 1, Phase::Trial, 0.5)));
+    rig
+}
+
+/// Traffic until so many outcomes have come from the build on trial, two classes in turn; then 4 s of the earlier
+/// build's alone. The votes cast.
+fn few(rig: &mut Rig, outcomes: u32, fate: impl Fn(MachineId) -> Outcome) -> Vec<Verdict> {
+    let mut votes = Vec::new();
+    let seen = std::cell::Cell::new(0);
+    for i in 0..1_000 {
+        rig.serve([READ, BOOK][i % 2], |m| {
+            seen.set(seen.get() + u32::from(is_new(m)));
+            fate(m)
+        });
+        if seen.get() >= outcomes {
+            break;
+        }
+    }
+    assert!((outcomes..10).contains(&seen.get()), "a retry may add to them: {}", seen.get());
+    rig.send(Event::Stage(stage(NEW, 1, Phase::Trial, 0.0)));
+    for _ in 0..80 {
+        rig.serve(READ, |m| if is_new(m) { fate(m) } else { Outcome::Served });
+        votes.extend(rig.tick_votes(50));
+    }
+    votes
+}
+
+#[test]
+fn a_front_with_few_outcomes_is_heard_where_many_must_agree() {
+    // Danger: of hundreds of fronts each has a handful of outcomes of a stage, none is judged, and a build that lets
+    // requests time out is released and takes the fleet.
+    let late = |m| if is_new(m) { Outcome::TimedOut } else { Outcome::Served };
+    let votes = few(&mut one_of_many(VoteMode::Timer, 15), 6, late);
+    assert!(votes.contains(&Verdict::Hold) && votes.contains(&Verdict::Back), "{votes:?}");
+    assert_eq!(few(&mut one_of_many(VoteMode::Timer, 1), 6, late), [], "one vote alone would do it");
+}
+
+#[test]
+fn a_good_build_goes_on_by_fronts_that_see_little_of_each_class() {
+    let served = |_| Outcome::Served;
+    let votes = few(&mut one_of_many(VoteMode::Share, 15), 6, served);
+    assert!(votes.contains(&Verdict::On), "{votes:?}");
+    // Fewer tell nothing, however many must agree.
+    assert_eq!(few(&mut one_of_many(VoteMode::Share, 15), 3, served), []);
+}
