--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -3,7 +3,7 @@
 mod agreement;
 mod cores;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Output};
 
 use garnetcrank_standins::front::*;
@@ -209,6 +209,24 @@
     assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"the second"[..]));
 }
 
+#[test]
+fn an_answer_that_came_in_time_is_passed_on_by_a_process_that_stood_still() {
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    client.send(&request("POST", "/pay", 1_000, "x"));
+    until("the request at the machine", || machine.requests().len() == 1);
+    front.signal("STOP");
+    machine.release();
+    // The answer lies unread while the request's time runs out, and both are found in one turn.
+    std::thread::sleep(std::time::Duration::from_millis(1_200));
+    front.signal("CONT");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.body), (200, b"late".to_vec()));
+    assert_eq!(machine.requests().len(), 1);
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_attempt_along_and_holds_nothing_up() {
     let machine = Machine::start(Does::Wait);
@@ -389,6 +407,75 @@
     assert!(front.log().contains("counters requests=2 passed=2 "), "{}", front.log());
 }
 
+#[test]
+fn half_a_request_at_the_word_to_stop_is_read_and_answered_before_the_exit() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let mut front = Running::start(&plan);
+    let mut client = front.client();
+    let text = request("POST", "/book", 9000, "a body that comes in two halves");
+    let (half, rest) = text.split_at(text.len() - 10);
+    client.send(half);
+    front.signal("TERM");
+    until("nobody is taken any more", || TcpStream::connect(front.address).is_err());
+    // A front that takes half a request for none is gone within a few sweeps; time alone lets no sound one fail.
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    client.send(rest);
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(client.ended() && front.exit().success());
+    until("its last words", || front.log().contains("counters requests="));
+    assert!(!front.log().contains("with requests unanswered"), "{}", front.log());
+}
+
+#[test]
+fn a_request_that_no_machine_answers_gets_its_answer_before_the_process_may_be_killed() {
+    let machine = Machine::start(Does::Nothing);
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let mut front = Running::start(&plan);
+    let mut client = front.client();
+    client.send(&request("POST", "/pay", 25_000, "x"));
+    until("the request at the machine", || machine.requests().len() == 1);
+    front.signal("TERM");
+    // Long before its own time, for it is not what the process is given.
+    assert_eq!(client.read().expect("an answer").status(), 504);
+    assert!(client.ended() && front.exit().success());
+    until("its counters", || front.log().contains("counters requests="));
+    assert!(front.log().contains(" overdue=1 "), "{}", front.log());
+    assert_eq!(machine.requests().len(), 1, "what may have run was sent again");
+}
+
+#[test]
+fn signals_while_the_configuration_is_read_end_nothing() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    let text = plan.config(free_address());
+    // A pipe holds the reader until the test writes.
+    let path = config_file("");
+    std::fs::remove_file(&path).expect("a free name");
+    assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
+    let program = Command::new(program())
+        .env_clear()
+        .env("RELAY_CONFIG", &path)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("it reads its configuration");
+    for signal in ["-HUP", "-TERM", "-HUP", "-TERM"] {
+        let sent = Command::new("kill").args([signal, &program.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+    // Read again it is a file.
+    std::fs::rename(config_file(&text), &path).expect("the file is replaced");
+    std::io::Write::write_all(&mut pipe, text.as_bytes()).expect("written");
+    drop(pipe);
+    let output = program.wait_with_output().expect("its end");
+    let _ = std::fs::remove_file(&path);
+    let log = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{:?}: {log}", output.status);
+    assert!(log.contains("draining") && log.contains("stopped"), "{log}");
+}
+
 #[test]
 fn it_starts_again_at_once_under_the_same_address() {
     let machine = Machine::start(ok("yes"));
@@ -537,6 +624,24 @@
     assert_eq!((discovery.asked().len(), platform.asked().len()), (1, 1), "the old addresses are let go");
 }
 
+#[test]
+fn a_mute_agent_after_a_reload_is_left_for_a_new_connection_at_once() {
+    let (old, new) = (Machine::start(ok("old")), Machine::start(ok("new")));
+    let (_discovery, _platform, mut plan) = around(&[old.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    assert_eq!(client.look().body, b"old");
+    let moved = Source::start(&list(2, true, &[member("s-9", new.address, 4, "Ready")]));
+    moved.silence(true);
+    plan.discovery = moved.address;
+    front.reload(&plan.config(front.address));
+    until("the first connection there", || moved.asked().len() == 1);
+    moved.silence(false); // on connections to come
+    until("answers by the list of the new address", || client.look().body == b"new");
+    assert!(front.log().contains("discovery: not a word on a new connection"), "{}", front.log());
+    assert!(!front.log().contains("discovery: no sign of life"), "it waited for a sign of life");
+}
+
 #[test]
 fn a_faulty_or_missing_configuration_changes_nothing_and_is_named() {
     let machine = Machine::start(ok("yes"));
@@ -701,3 +806,83 @@
     until("the list is back", || client.look().body == b"old");
     until("the platform's news is back", || front.log().contains("build 5 stage 0: Trial"));
 }
+
+#[test]
+fn odd_lists_are_taken_by_their_words_and_end_nothing() {
+    let (first, second) = (Machine::start(ok("first")), Machine::start(ok("second")));
+    let (discovery, _platform, plan) = around(&[first.address]);
+    let front = Running::start(&plan);
+    let mut client = front.client();
+    assert_eq!(client.look().body, b"first");
+    // An entry that stands twice: the last word counts.
+    let twice = [member("s-0", first.address, 4, "Ready"), member("s-0", second.address, 4, "Ready")];
+    let now = list(2, true, &twice);
+    discovery.tell(&now, &now);
+    until("the last of two words", || client.look().body == b"second");
+    // A list of nothing: there is nowhere to send to, which is said at once and harmless to try again.
+    let now = list(3, true, &[]);
+    discovery.tell(&now, &now);
+    until("a refusal", || client.look().status() == 503);
+    // A change of a revision that goes back says nothing; a whole list of one does, as discovery may have begun anew.
+    let entry = [member("s-0", first.address, 4, "Ready")];
+    let (change, whole) = (list(1, false, &entry), list(1, true, &entry));
+    discovery.tell(&change, &change);
+    discovery.tell("", &change); // a sign of life behind it, so that it has been read
+    for _ in 0..20 {
+        assert_eq!(client.look().status(), 503);
+    }
+    discovery.tell(&whole, &whole);
+    until("the machine of the whole list", || client.look().body == b"first");
+    assert_eq!(discovery.asked().len(), 1, "none of these is a reason to connect anew: {}", front.log());
+}
+
+#[test]
+fn settings_of_another_deployment_at_a_reload_wait_for_the_next_start_and_mix_with_nothing() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    let front = Running::start(&plan);
+    let own = plan.settings.clone();
+    // Another customer's: the classes in another order and of other names, and a tenant of another name.
+    for grade in plan.settings["grades"].as_array_mut().expect("classes") {
+        grade["name"] = format!("other-{}", grade["name"].as_str().expect("a name")).into();
+    }
+    plan.settings["grades"].as_array_mut().expect("classes").reverse();
+    plan.settings["tenants"][0]["name"] = "others".into();
+    front.reload(&plan.config(front.address));
+    until("it is said", || {
+        front.log().contains("reload: settings: a new value counts from the next start on")
+    });
+    let mut client = front.client();
+    assert_eq!(client.look().status(), 200, "its own classes and tenants stand");
+    let others = request("GET", "/other-look", 900, "").replace("Tenant: acme", "Tenant: others");
+    assert_eq!(client.say(&others).expect("an answer").status(), 404);
+    let own_class = request("GET", "/look", 900, "").replace("Tenant: acme", "Tenant: others");
+    assert_eq!(front.client().say(&own_class).expect("an answer").status(), 400);
+    assert_eq!(machine.requests().len(), 1, "what another deployment's settings name went to a machine");
+    // The next start goes by them alone.
+    drop(front);
+    let front = Running::start(&plan);
+    assert_eq!(front.client().say(&others).expect("an answer").status(), 200);
+    assert_eq!(front.client().say(&request("GET", "/look", 900, "")).expect("an answer").status(), 404);
+    assert_ne!(plan.settings, own);
+}
+
+#[test]
+fn requests_of_one_name_from_two_tenants_never_meet_in_one_answer() {
+    // The page has a fresh id on each request; one that is open already is told so, and changes nothing for the other.
+    let machine = Machine::start(Does::Wait);
+    let (_discovery, _platform, mut plan) = around(&[machine.address]);
+    let mut other = plan.settings["tenants"][0].clone();
+    other["name"] = "others".into();
+    plan.settings["tenants"].as_array_mut().expect("tenants").push(other);
+    let front = Running::start(&plan);
+    let (mut first, mut second) = (front.client(), front.client());
+    let text = request("POST", "/pay", 9000, "of the first");
+    first.send(&text);
+    until("the first at the machine", || machine.requests().len() == 1);
+    let taken = second.say(&text.replace("Tenant: acme", "Tenant: others")).expect("an answer");
+    assert_eq!((taken.status(), taken.header("connection")), (409, Some("close")));
+    machine.release();
+    assert_eq!(first.read().expect("an answer").status(), 200);
+    assert_eq!(machine.requests().len(), 1);
+}
--- a/crates/standins/src/front.rs
+++ b/crates/standins/src/front.rs
@@ -227,6 +227,8 @@
 struct SourceState {
     first: String,
     streams: Vec<TcpStream>,
+    /// Open, and never a byte on them.
+    mute: Vec<TcpStream>,
     asked: Vec<String>,
     votes: Vec<String>,
     vote_answer: (u16, String),
@@ -287,7 +289,9 @@
 
     /// Cuts all its connections.
     pub fn cut(&self) {
-        for stream in lock(&self.shared).streams.drain(..) {
+        let mut state = lock(&self.shared);
+        let mute = std::mem::take(&mut state.mute);
+        for stream in state.streams.drain(..).chain(mute) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -322,7 +326,7 @@
         state.votes.push(String::from_utf8_lossy(&message.body).into_owned());
         let (status, body) = state.vote_answer.clone();
         if status == 0 {
-            return state.streams.push(stream); // open, and never answered
+            return state.mute.push(stream);
         }
         let _ = stream.write_all(&answer(status, "", body.as_bytes()));
     } else if !state.silent {
@@ -331,7 +335,7 @@
         let _ = stream.write_all(&chunk(&first));
         state.streams.push(stream);
     } else {
-        state.streams.push(stream); // open, and nothing on it
+        state.mute.push(stream);
     }
 }
 
