A list that was asked for in vain is asked for at once where SIGHUP says discovery is now

Seen on a review of what ends a wait: where the list must be asked for and the last call failed, the decisions wait 0.5 to 1.5 s, doubled up to 2 to 6 s, before the next. SIGHUP with another address in that wait changed nothing: the watch of the new address began as the wait for the old one ended. What is told there counts 4 s after SIGHUP, so it could be missed by 2 s.

Where the list is pushed the watch is kept up by itself and `retarget` ends its wait; a watch that stands, or is being made, moves at once in both modes.

At fault: discovery.rs renew, with `wanted` false since the loss. Now `wanted` tells "no" from "lost, and the decisions choose when", and a move ends the latter. The decisions' own timer may ask once more meanwhile, which the queue at discovery can bear.

Test: a_list_asked_for_in_vain_is_asked_for_at_once_where_discovery_has_moved, which fails without it. docs/ends.md has the row.

--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -173,6 +173,15 @@
     pub places: Vec<Place>,
 }
 
+/// Whether the watch is kept up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wanted {
+    No,
+    Yes,
+    /// It was lost, and the decisions choose when to ask again.
+    Again,
+}
+
 /// The front's view of discovery.
 pub struct Discovery {
     address: SocketAddr,
@@ -180,7 +189,7 @@
     watch: Watch,
     /// The list comes unasked: the watch is kept up by itself.
     pushed: bool,
-    wanted: bool,
+    wanted: Wanted,
     text: Text,
     asking: Option<Call>,
     /// Discovery has told something since the start.
@@ -207,7 +216,7 @@
             },
             watch: Watch::new("discovery", address, (SILENCE, first_word), seed),
             pushed,
-            wanted: pushed,
+            wanted: if pushed { Wanted::Yes } else { Wanted::No },
             text: Text::default(),
             asking: None,
             heard: false,
@@ -226,11 +235,15 @@
     pub fn renew(&mut self, address: SocketAddr, known: List, now: Micros) -> FleetNews {
         let last = self.watch.retarget(address, now);
         let mut news = self.heard(last, now);
-        if address != self.address {
+        if std::mem::replace(&mut self.address, address) != address {
             self.text = Text::default();
-        }
-        if std::mem::replace(&mut self.address, address) != address && self.asking.take().is_some() {
-            news.fleet.push(Fleet::Unreachable); // asked again where it is now
+            if self.wanted == Wanted::Again {
+                // The wait is for the old address, and may be longer than what is there now stays unsaid.
+                self.wanted = Wanted::Yes;
+            }
+            if self.asking.take().is_some() {
+                news.fleet.push(Fleet::Unreachable); // asked again where it is now
+            }
         }
         if known.revision > self.roster.revision {
             let FleetNews { fleet, places } = self.known(known);
@@ -247,7 +260,7 @@
         }
         let last = self.watch.close(now);
         let news = self.heard(last, now);
-        (self.wanted, self.text) = (want, Text::default());
+        (self.wanted, self.text) = (if want { Wanted::Yes } else { Wanted::No }, Text::default());
         news
     }
 
@@ -279,7 +292,7 @@
 
     /// Whether nothing is to be done but to listen.
     pub fn at_rest(&self) -> bool {
-        self.asking.is_none() && (!self.wanted || self.watch.stands())
+        self.asking.is_none() && (self.wanted != Wanted::Yes || self.watch.stands())
     }
 
     /// Connects where that is due, and gives up what has been silent for too long.
@@ -289,7 +302,7 @@
             self.asking = None;
             news.fleet.push(Fleet::Unreachable);
         }
-        if self.wanted {
+        if self.wanted == Wanted::Yes {
             let target = || format!("/v1/servers?stream=1&index={}", self.roster.revision);
             let heard = self.watch.tend(handle, ids, Who::Discovery, now, target);
             let FleetNews { fleet, places } = self.heard(heard, now);
@@ -321,7 +334,7 @@
             self.text = Text::default(); // the next connection begins with a text of its own
         }
         if lost && !self.pushed {
-            self.wanted = false; // the decisions choose when to ask again
+            self.wanted = Wanted::Again;
             news.fleet.push(Fleet::Unreachable);
         }
     }
@@ -564,6 +577,37 @@
         assert!(matches!(&d.asked(answer(9)).fleet[..], [Fleet::Whole { .. }]));
     }
 
+    #[test]
+    fn a_list_asked_for_in_vain_is_asked_for_at_once_where_discovery_has_moved() {
+        let settings: serde_json::Value =
+            serde_json::from_str(include_str!("../tests/settings.json")).expect("JSON");
+        let mut asked = settings.clone();
+        asked["registryMode"] = "on_request".into();
+        let settings = Settings::read(&asked).expect("settings that hold together");
+        let event_loop = calloop::EventLoop::<crate::ready::Ready>::try_new().expect("a loop");
+        let (handle, mut ids, now) = (event_loop.handle(), ConnIds::default(), 100 * SECOND);
+        let listen = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (old, new) = (listen(), listen());
+        let address = |l: &std::net::TcpListener| l.local_addr().expect("an address");
+        let mut d = Discovery::new(address(&old), &settings, 7);
+        // Asked for, and not a word there: lost, and the decisions wait before they ask again.
+        assert!(d.subscribe(true, now).fleet.is_empty());
+        d.tend(&handle, &mut ids, now);
+        let (_mute, _) = old.accept().expect("a connection");
+        let lost = d.tend(&handle, &mut ids, now + SILENCE);
+        assert!(matches!(lost.fleet[..], [Fleet::Unreachable]), "{lost:?}");
+        let begun = ids.next();
+        let nothing = List { revision: 0, complete: false, members: Vec::new() };
+        d.renew(address(&old), nothing.clone(), now + SILENCE);
+        d.tend(&handle, &mut ids, now + SILENCE);
+        assert_eq!(ids.next().0, begun.0 + 1, "at the same address it is theirs to say when");
+        // What is there now counts 4 s from here, and they may wait for 6.
+        d.renew(address(&new), nothing, now + SILENCE);
+        d.tend(&handle, &mut ids, now + SILENCE);
+        assert_eq!(ids.next().0, begun.0 + 3, "nothing was asked where it is now");
+        new.accept().expect("a connection");
+    }
+
     #[test]
     fn a_list_that_cannot_be_read_is_told_from_one_that_can() {
         let mut d = discovery();
