A mute watch is made anew at once: a front that waited missed discovery's return

What the agent gets at the return counts at once, whether or not a watch is open.

Checked and ruled out: the module, which had not been told; attempts that waited for a connection; broken connections (none in the logs).

After a break the wait is 20 to 100 ms at discovery, which is an agent on the same machine where the list is pushed; at the platform it stays. Where the list is asked for, the decisions choose when, as before.

Test: while_the_other_side_is_mute_a_connection_is_open_whenever_it_speaks_again, which fails with the wait.

--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -12,7 +12,7 @@
 use crate::call::{Ask, Call, CallEnd};
 use crate::clock::{MS, SECOND};
 use crate::ready::{ConnId, ConnIds, Handle, Who};
-use crate::watch::{FIRST_WORD, Heard, Watch};
+use crate::watch::{Again, FIRST_WORD, Heard, Watch};
 
 /// Silence after which a watch is dead: one of its signs of life, one every 2 s, and a margin. What a dead one misses
 /// counts as told 6 s after it fell silent, so that two more connections may fail before one tells it.
@@ -214,7 +214,7 @@
                 kinds: settings.kinds.clone(),
                 revision: 0,
             },
-            watch: Watch::new("discovery", address, (SILENCE, first_word), seed),
+            watch: Watch::new("discovery", address, (SILENCE, first_word), Again::HERE, seed),
             pushed,
             wanted: if pushed { Wanted::Yes } else { Wanted::No },
             text: Text::default(),
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -13,7 +13,7 @@
 use crate::call::{Ask, Call, CallEnd};
 use crate::extras::Agreement;
 use crate::ready::{ConnId, ConnIds, Handle, Who};
-use crate::watch::{self, Watch};
+use crate::watch::{self, Again, Watch};
 
 /// Longest answer to a verdict; it is a line.
 const ANSWER_MOST: usize = 4 * 1024;
@@ -114,7 +114,13 @@
             name: name.to_owned(),
             agent: agreement.agent,
             wait: agreement.wait(),
-            watch: Watch::new("agent", agreement.agent, (agreement.silence(), agreement.silence()), seed),
+            watch: Watch::new(
+                "agent",
+                agreement.agent,
+                (agreement.silence(), agreement.silence()),
+                Again::FAR,
+                seed,
+            ),
             calls: Vec::new(),
             ballots: Ballots::new(vote_life),
             reconnects: 0,
--- a/crates/front/src/platform.rs
+++ b/crates/front/src/platform.rs
@@ -11,7 +11,7 @@
 use crate::call::{Ask, Call, CallEnd};
 use crate::clock::{MS, SECOND};
 use crate::ready::{ConnId, ConnIds, Handle, Who};
-use crate::watch::{FIRST_WORD, Heard, Watch};
+use crate::watch::{Again, FIRST_WORD, Heard, Watch};
 
 /// Silence after which the stream of news is dead: three of its signs of life, one a second.
 const SILENCE: Micros = 3_500 * MS;
@@ -101,7 +101,7 @@
     pub fn new(address: SocketAddr, vote_wait: Micros, seed: u64) -> Self {
         Platform {
             address,
-            watch: Watch::new("platform", address, (SILENCE, FIRST_WORD), seed),
+            watch: Watch::new("platform", address, (SILENCE, FIRST_WORD), Again::FAR, seed),
             votes: Vec::new(),
             vote_wait: if vote_wait > 0 { vote_wait } else { SECOND },
             known: None,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -12,12 +12,24 @@
 use crate::conn::Conn;
 use crate::ready::{ConnId, ConnIds, Handle, Who};
 
-/// Longest first wait before a lost connection is made anew, doubled each time; from half of it on, lest all fronts come
-/// back in step ...
-const AGAIN_FIRST: Micros = 100 * MS;
-/// ... up to this: the other side may be overloaded, and what it tells is wanted within four seconds, over
-/// a few connections that are spoilt one after another.
-const AGAIN_MOST: Micros = 800 * MS;
+/// Longest first wait before a connection that broke or was refused is made anew, doubled each time up to the other; from
+/// half of it on, lest all fronts come back in step. One that is mute is made anew at once, which its own limit bounds:
+/// what comes back speaks to the connections that are open, and what it says then may count from that moment on.
+#[derive(Debug, Clone, Copy)]
+pub struct Again {
+    /// The first one.
+    pub first: Micros,
+    /// The longest.
+    pub most: Micros,
+}
+
+impl Again {
+    /// The other side may be overloaded, and what it tells is wanted within four seconds, over a few connections that are
+    /// spoilt one after another.
+    pub const FAR: Again = Again { first: 100 * MS, most: 800 * MS };
+    /// It is on this machine, for this front alone: what it holds counts as told whether or not we are connected.
+    pub const HERE: Again = Again { first: 20 * MS, most: 100 * MS };
+}
 /// One that speaks at once where it is alive: a connection without a word for so long is mute. What it has to tell counts
 /// soon after, whether or not it arrived, so a mute connection must leave time for two more.
 pub const FIRST_WORD: Micros = 1_000 * MS;
@@ -42,6 +54,7 @@
     to: SocketAddr,
     silence: Micros,
     first_word: Micros,
+    again: Again,
     rng: Rng,
     open: Option<Open>,
     heard: Micros,
@@ -72,10 +85,12 @@
         name: &'static str,
         to: SocketAddr,
         (silence, first_word): (Micros, Micros),
+        again: Again,
         seed: u64,
     ) -> Self {
         let rng = Rng::with_seed(seed);
-        Watch { name, to, silence, first_word, rng, open: None, heard: 0, again_at: 0, wait: AGAIN_FIRST }
+        let (open, heard, again_at, wait) = (None, 0, 0, again.first);
+        Watch { name, to, silence, first_word, again, rng, open, heard, again_at, wait }
     }
 
     /// Whether a connection stands and has told something.
@@ -96,7 +111,7 @@
         if self.to == to {
             return Heard::default();
         }
-        (self.to, self.wait) = (to, AGAIN_FIRST);
+        (self.to, self.wait) = (to, self.again.first);
         self.close(now)
     }
 
@@ -111,7 +126,7 @@
         let wait = self.rng.u64(self.wait / 2..=self.wait);
         warn!("{}: {reason}; connecting anew in {} ms", self.name, wait / MS);
         self.again_at = now + wait;
-        self.wait = (self.wait * 2).min(AGAIN_MOST);
+        self.wait = (self.wait * 2).min(self.again.most);
     }
 
     /// Connects where that is due. Lost when a connection was given up or could not be started.
@@ -137,7 +152,8 @@
             if last.lost || now < self.heard + limit {
                 return last;
             }
-            self.lose(now, reason);
+            warn!("{}: {reason}; connecting anew", self.name);
+            (self.open, self.again_at) = (None, now);
             return Heard { lost: true, ..last };
         }
         if now < self.again_at {
@@ -188,7 +204,7 @@
             self.heard = now; // half a list is a sign of life, too
         }
         if !lines.is_empty() {
-            self.wait = AGAIN_FIRST;
+            self.wait = self.again.first;
             if !std::mem::replace(&mut open.told, true) {
                 info!("{}: connected", self.name);
             }
@@ -266,8 +282,13 @@
     impl Stand {
         fn new(seed: u64) -> Stand {
             let peer = TcpListener::bind("127.0.0.1:0").expect("a port");
-            let watch =
-                Watch::new("test", peer.local_addr().expect("an address"), (SILENCE, FIRST_WORD), seed);
+            let watch = Watch::new(
+                "test",
+                peer.local_addr().expect("an address"),
+                (SILENCE, FIRST_WORD),
+                Again::FAR,
+                seed,
+            );
             let event_loop = EventLoop::try_new().expect("a loop");
             Stand { event_loop, peer, watch, ids: ConnIds::default(), now: 100 * SECOND, begun: Vec::new() }
         }
@@ -349,6 +370,29 @@
         }
     }
 
+    #[test]
+    fn while_the_other_side_is_mute_a_connection_is_open_whenever_it_speaks_again() {
+        let (mut stand, _first) = Stand::told(1);
+        let (mut mute, mut apart) = (Vec::new(), 0);
+        for _ in 0..500 {
+            let before = stand.begun.len();
+            stand.tend();
+            if stand.begun.len() > before {
+                mute.push(stand.accept()); // up, and then not a word
+            }
+            apart += u32::from(stand.watch.open.is_none());
+            stand.now += 20 * MS; // a sweep
+        }
+        assert!((5..=8).contains(&mute.len()), "{} connections in 10 s", mute.len());
+        // Between two of them one sweep passes, so that a turn that tells of a loss makes no connection as well.
+        assert_eq!(apart as usize, mute.len(), "it waits while the other side may be back");
+        let mut last = mute.pop().expect("a connection");
+        last.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nback\n\r\n")
+            .expect("sent");
+        until_there(&stand);
+        assert_eq!(stand.heard().lines, [b"back"]);
+    }
+
     #[test]
     fn what_was_told_before_the_address_moved_is_read() {
         let (mut stand, mut stream) = Stand::told(1);
@@ -391,6 +435,7 @@
             waits.insert(stand.watch.again_at - stand.now);
         }
         assert!(waits.len() > 10, "in step: {waits:?}");
-        assert!(waits.iter().all(|w| (AGAIN_FIRST / 2..=AGAIN_FIRST).contains(w)), "{waits:?}");
+        let first = Again::FAR.first;
+        assert!(waits.iter().all(|w| (first / 2..=first).contains(w)), "{waits:?}");
     }
 }
