Idle connections are closed while somebody still listens to those who come again

Checked: while draining every answer ends its connection, so the idle ones are closed once; new silent ones keep their 250 ms.

All threads follow one flag, as with the others.

--- a/crates/front/src/cores.rs
+++ b/crates/front/src/cores.rs
@@ -55,6 +55,7 @@
     desks: Vec<Desk>,
     serving: AtomicBool,
     closing: AtomicBool,
+    emptying: AtomicBool,
     deaf: AtomicBool,
     stopped: AtomicBool,
 }
@@ -85,6 +86,7 @@
             desks,
             serving: flag(),
             closing: flag(),
+            emptying: flag(),
             deaf: flag(),
             stopped: flag(),
         };
@@ -168,9 +170,10 @@
     }
 
     /// The first thread tells how the process stands.
-    pub fn stands(&self, serving: bool, closing: bool, deaf: bool, stopped: bool) {
+    pub fn stands(&self, serving: bool, closing: bool, emptying: bool, deaf: bool, stopped: bool) {
         self.serving.store(serving, Ordering::SeqCst);
         self.closing.store(closing, Ordering::SeqCst);
+        self.emptying.store(emptying, Ordering::SeqCst);
         self.deaf.store(deaf, Ordering::SeqCst);
         if stopped && !self.stopped.swap(true, Ordering::SeqCst) {
             self.desks.iter().for_each(|desk| desk.ping.ping());
@@ -187,6 +190,11 @@
         self.closing.load(Ordering::SeqCst)
     }
 
+    /// Whether connections between requests are closed.
+    pub fn emptying(&self) -> bool {
+        self.emptying.load(Ordering::SeqCst)
+    }
+
     /// Whether no clients are taken any more.
     pub fn deaf(&self) -> bool {
         self.deaf.load(Ordering::SeqCst)
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -541,7 +541,8 @@
             Some(news) => {
                 let change = news.life.tend(now, news.discovery.heard, done);
                 let (life, closing) = (&news.life, self.clients.closing);
-                self.shared.stands(life.serving(), closing, !life.listening(), life.stopped());
+                let (emptying, deaf) = (life.closes_idle(now), !life.listening());
+                self.shared.stands(life.serving(), closing, emptying, deaf, life.stopped());
                 change == Change::StopListening
             }
             None => {
@@ -556,7 +557,7 @@
             }
             self.clients.stop_listening();
         }
-        if !self.clients.listens() {
+        if self.shared.emptying() {
             self.clients.close_idle(now);
         }
     }
--- a/crates/front/src/phase.rs
+++ b/crates/front/src/phase.rs
@@ -9,6 +9,9 @@
 const START_WAIT: Micros = 500 * MS;
 /// How long clients may still arrive after the word to stop: those who send them need to notice.
 const ARRIVALS: Micros = 550 * MS;
+/// How long before that connections between requests are closed: whoever wrote on one at that moment comes again on a new
+/// connection, which must find somebody.
+const COME_AGAIN: Micros = 100 * MS;
 /// Longest time to finish what is held, beyond the last arrivals. Requests are answered by then, only streams that have
 /// begun can take longer.
 const FINISH: Micros = 10 * SECOND;
@@ -32,7 +35,7 @@
 pub enum Change {
     /// Nothing changed.
     None,
-    /// The last arrivals are in: empty the backlog, stop listening, close idle connections.
+    /// The last arrivals are in: empty the backlog, stop listening.
     StopListening,
 }
 
@@ -66,6 +69,14 @@
         !matches!(self.phase, Phase::Draining { listening: false, .. } | Phase::Stopped)
     }
 
+    /// Whether connections between requests are closed: nobody new is sent here any more.
+    pub fn closes_idle(&self, now: Micros) -> bool {
+        match self.phase {
+            Phase::Draining { since, .. } => now >= since + ARRIVALS - COME_AGAIN,
+            phase => phase == Phase::Stopped,
+        }
+    }
+
     /// Whether it may exit.
     pub fn stopped(&self) -> bool {
         self.phase == Phase::Stopped
@@ -118,7 +129,11 @@
         assert_eq!(life.stop(SECOND), Some(2_500 * MS));
         assert_eq!(life.stop(2 * SECOND), None, "told once is enough");
         assert_eq!(life.tend(SECOND + MS, true, true), Change::None, "clients still arrive");
-        assert!(life.listening() && life.stopping());
+        assert!(life.listening() && life.stopping() && !life.closes_idle(SECOND + MS));
+        // Those whose connections are closed under their request come again while somebody listens.
+        let closes = SECOND + ARRIVALS - COME_AGAIN;
+        assert_eq!(life.tend(closes, true, true), Change::None);
+        assert!(life.closes_idle(closes) && life.listening() && !life.closes_idle(closes - 1));
         assert_eq!(life.tend(2 * SECOND, true, false), Change::StopListening);
         assert_eq!(life.tend(2 * SECOND, true, false), Change::None);
         assert!(!life.listening());
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -476,6 +476,23 @@
     assert!(log.contains("draining") && log.contains("stopped"), "{log}");
 }
 
+#[test]
+fn a_client_whose_idle_connection_is_closed_at_the_end_comes_again_and_is_answered() {
+    let machine = Machine::start(ok("yes"));
+    let (_discovery, _platform, plan) = around(&[machine.address]);
+    // It has a tenth of a second to come again, which a busy host may take from it; not ten times in a row.
+    let answered = (0..10).any(|_| {
+        let front = Running::start(&plan);
+        let mut client = front.client();
+        assert_eq!(client.look().status(), 200);
+        front.signal("TERM");
+        assert!(client.ended(), "an answer to no request");
+        let Ok(again) = TcpStream::connect(front.address) else { return false };
+        Client::on(again).say(&request("GET", "/look", 9000, "")).is_some_and(|a| a.status() == 200)
+    });
+    assert!(answered, "nobody listens any more once idle connections are closed");
+}
+
 #[test]
 fn it_starts_again_at_once_under_the_same_address() {
     let machine = Machine::start(ok("yes"));
--- a/crates/standins/src/front.rs
+++ b/crates/standins/src/front.rs
@@ -498,9 +498,7 @@
 
     /// A new connection to it.
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("a connection");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        Client { reader: BufReader::new(stream) }
+        Client::on(TcpStream::connect(self.address).expect("a connection"))
     }
 
     /// What it has logged so far.
@@ -577,6 +575,12 @@
 }
 
 impl Client {
+    /// On a connection that stands.
+    pub fn on(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { reader: BufReader::new(stream) }
+    }
+
     /// Sends text as it is.
     pub fn send(&mut self, text: &str) -> bool {
         self.reader.get_mut().write_all(text.as_bytes()).is_ok()
