--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -246,7 +246,7 @@
     pub fn wait(&self) -> Option<std::time::Duration> {
         let now = self.clock.now();
         let until = |at: Micros| std::time::Duration::from_micros(at.saturating_sub(now));
-        let due = [self.timers.due_at(), self.machines.due(), self.shared.driver().due(self.core)];
+        let due = [self.timers.due_at(), self.machines.due(), self.shared.driver().due()];
         due.into_iter().flatten().min().map(until)
     }
 
@@ -285,9 +285,7 @@
         }
         self.accept(now);
         self.machines.late(now, &mut self.machine_notes);
-        // An answer of this turn, or the decisions' own word on a time-out, goes before the failure for want of any.
-        self.settle();
-        self.shared.driver().overdue(self.core, now, &mut self.commands);
+        self.shared.driver().overdue(now, &mut self.commands);
         while let Some(due) = self.timers.due(now) {
             match due {
                 Due::Decisions(token) => self.shared.driver().event(Event::Timer(token)),
