What the machines said is taken before a request is failed for want of an answer

Seen: the test known to be red, an_answer_that_came_in_time_is_passed_on_by_a_process_that_stood_still: 504 where the answer had come in time.

At fault: front.rs turn, which failed what is overdue before taking what had been read; driver.rs overdue, which took the requests of all threads, whose connections it can't have looked at.

Each thread fails its own. The test fails without it on one thread and on three (504 for 200), passes with it; 101 tests of the front pass.

--- a/crates/front/src/driver.rs
+++ b/crates/front/src/driver.rs
@@ -178,9 +178,14 @@
         self.names.contains(name_of(message))
     }
 
-    /// When the first of them must be failed.
-    pub fn due(&self) -> Option<Micros> {
-        self.overdue.first().map(|(at, _)| *at)
+    /// When the first of those on a thread must be failed.
+    pub fn due(&self, core: Core) -> Option<Micros> {
+        self.first_due(core).map(|(at, _)| at)
+    }
+
+    fn first_due(&self, core: Core) -> Option<(Micros, RequestId)> {
+        let cores = self.owed_by.len();
+        self.overdue.iter().find(|(_, id)| id.0 as usize % cores == core.0).copied()
     }
 
     /// Their bodies, in bytes.
@@ -271,10 +276,11 @@
         self.held.get(&id)?.begun
     }
 
-    /// Fails the requests whose time is over and that nothing has ended. A stream that has begun goes on.
-    pub fn overdue(&mut self, now: Micros, commands: &mut Vec<Command>) {
-        while self.due().is_some_and(|at| at <= now) {
-            let Some((_, id)) = self.overdue.pop_first() else { return };
+    /// Fails the requests on a thread whose time is over and that nothing has ended. A stream that has begun goes on. The
+    /// thread has looked for what lies at its connections; no other could.
+    pub fn overdue(&mut self, core: Core, now: Micros, commands: &mut Vec<Command>) {
+        while let Some((at, id)) = self.first_due(core).filter(|(at, _)| *at <= now) {
+            self.overdue.remove(&(at, id));
             if let Some(client) = self.get(id).filter(|h| h.begun.is_none()).map(|h| h.client) {
                 self.left(id);
                 commands.push(Command::Overdue { client });
@@ -464,7 +470,7 @@
         driver.ended(done(id, 0, Outcome::Served), Some(answer), &mut commands);
         assert!(matches!(commands[..], [Command::Pass { client: ConnId(1), .. }]));
         commands.clear();
-        driver.overdue(NOW + 3_600_000 * MS, &mut commands);
+        driver.overdue(Core::FIRST, NOW + 3_600_000 * MS, &mut commands);
         assert!(commands.is_empty() && drain(&mut driver).is_empty() && driver.held.is_empty());
     }
 
@@ -474,9 +480,9 @@
         let id = arrive(&mut driver, "/pay");
         drain(&mut driver);
         let mut commands = Vec::new();
-        driver.overdue(NOW + 900 * MS, &mut commands);
+        driver.overdue(Core::FIRST, NOW + 900 * MS, &mut commands);
         assert!(commands.is_empty(), "before its time");
-        driver.overdue(NOW + 900 * MS + OVERDUE, &mut commands);
+        driver.overdue(Core::FIRST, NOW + 900 * MS + OVERDUE, &mut commands);
         assert!(matches!(commands[..], [Command::Overdue { client: ConnId(1) }]));
         assert!(matches!(drain(&mut driver)[..], [Command::Withdraw { attempt: 0, .. }]));
         driver.ended(done(id, 0, Outcome::Withdrawn), None, &mut commands);
@@ -489,16 +495,20 @@
         arrive(&mut driver, "/pay");
         assert_eq!(drain(&mut driver).len(), 1);
         driver.answer_by(NOW + 5_000 * MS);
-        assert_eq!(driver.due(), Some(NOW + 900 * MS + OVERDUE), "its own time is over before that");
+        assert_eq!(
+            driver.due(Core::FIRST),
+            Some(NOW + 900 * MS + OVERDUE),
+            "its own time is over before that"
+        );
         driver.answer_by(NOW + 300 * MS);
-        assert_eq!(driver.due(), Some(NOW + 300 * MS + OVERDUE));
+        assert_eq!(driver.due(Core::FIRST), Some(NOW + 300 * MS + OVERDUE));
         let mut commands = Vec::new();
-        driver.overdue(NOW + 300 * MS + OVERDUE, &mut commands);
+        driver.overdue(Core::FIRST, NOW + 300 * MS + OVERDUE, &mut commands);
         assert!(matches!(commands[..], [Command::Overdue { .. }]));
         drain(&mut driver);
         // One that comes now has that time and no longer, and is sent nowhere for longer.
         arrive(&mut driver, "/look");
-        assert_eq!(driver.due(), Some(NOW + 300 * MS + OVERDUE));
+        assert_eq!(driver.due(Core::FIRST), Some(NOW + 300 * MS + OVERDUE));
         let by = |c: &Command| matches!(c, Command::Place { until, .. } if *until <= NOW + 300 * MS);
         let placed = drain(&mut driver);
         assert!(placed.iter().all(by) && placed.len() == 1, "{placed:?}");
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -246,7 +246,7 @@
     pub fn wait(&self) -> Option<std::time::Duration> {
         let now = self.clock.now();
         let until = |at: Micros| std::time::Duration::from_micros(at.saturating_sub(now));
-        let due = [self.timers.due_at(), self.machines.due(), self.shared.driver().due()];
+        let due = [self.timers.due_at(), self.machines.due(), self.shared.driver().due(self.core)];
         due.into_iter().flatten().min().map(until)
     }
 
@@ -285,7 +285,9 @@
         }
         self.accept(now);
         self.machines.late(now, &mut self.machine_notes);
-        self.shared.driver().overdue(now, &mut self.commands);
+        // An answer that was read in this turn goes before the failure for want of any.
+        self.take_machine_notes(now);
+        self.shared.driver().overdue(self.core, now, &mut self.commands);
         while let Some(due) = self.timers.due(now) {
             match due {
                 Due::Decisions(token) => self.shared.driver().event(Event::Timer(token)),
@@ -564,9 +566,7 @@
     fn settle(&mut self) {
         loop {
             let now = self.clock.now();
-            for note in std::mem::take(&mut self.machine_notes) {
-                self.machine_note(note, now);
-            }
+            self.take_machine_notes(now);
             for note in std::mem::take(&mut self.client_notes) {
                 self.client_note(note, now);
             }
@@ -619,6 +619,12 @@
         }
     }
 
+    fn take_machine_notes(&mut self, now: Micros) {
+        for note in std::mem::take(&mut self.machine_notes) {
+            self.machine_note(note, now);
+        }
+    }
+
     fn machine_note(&mut self, note: machines::Note, now: Micros) {
         match note {
             machines::Note::Begun { id, attempt, headers } => {
