How far the process is stands in one ordered value, not in five flags

Seen in review: Shared::stands took five bools of the phases of the process, which follow one another, and the first thread stopped listening by another word (Change) than the others. Now Life::reached tells one ordered value, kept under a lock, and all threads go by it: draining, emptying, deaf, stopped. No time and no order changes; the test of a life from start to exit has each step.

--- a/crates/front/src/cores.rs
+++ b/crates/front/src/cores.rs
@@ -1,4 +1,4 @@
-//! What the threads of a front share: the decisions under a lock, letters to one another, and a few flags.
+//! What the threads of a front share: the decisions under a lock, letters to one another, and how far the process is.
 //!
 //! Each thread has its own loop, clients and connections to machines. The first one also has discovery, the platform,
 //! the phases of the process and the decisions' timers.
@@ -14,6 +14,7 @@
 use crate::counters::Counters;
 use crate::discovery::Place;
 use crate::driver::{Command, Driver};
+use crate::phase::Reached;
 use crate::ready::ConnId;
 
 /// Threads at the most.
@@ -53,11 +54,7 @@
 pub struct Shared {
     driver: Decisions<Driver>,
     desks: Vec<Desk>,
-    serving: AtomicBool,
-    closing: AtomicBool,
-    emptying: AtomicBool,
-    deaf: AtomicBool,
-    stopped: AtomicBool,
+    reached: Mutex<Reached>,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -80,15 +77,10 @@
                 counters: Mutex::default(),
             });
         }
-        let flag = || AtomicBool::new(false);
         let shared = Shared {
             driver: Decisions::new(driver, cores, LATE),
             desks,
-            serving: flag(),
-            closing: flag(),
-            emptying: flag(),
-            deaf: flag(),
-            stopped: flag(),
+            reached: Mutex::new(Reached::Starting),
         };
         Ok((shared, sources))
     }
@@ -169,40 +161,17 @@
         self.others(core).map(|other| locked(&self.desks[other.0].counters).clone()).collect()
     }
 
-    /// The first thread tells how the process stands.
-    pub fn stands(&self, serving: bool, closing: bool, emptying: bool, deaf: bool, stopped: bool) {
-        self.serving.store(serving, Ordering::SeqCst);
-        self.closing.store(closing, Ordering::SeqCst);
-        self.emptying.store(emptying, Ordering::SeqCst);
-        self.deaf.store(deaf, Ordering::SeqCst);
-        if stopped && !self.stopped.swap(true, Ordering::SeqCst) {
+    /// The first thread tells how far the process is.
+    pub fn reach(&self, reached: Reached) {
+        let before = std::mem::replace(&mut *locked(&self.reached), reached);
+        if reached == Reached::Stopped && before != reached {
             self.desks.iter().for_each(|desk| desk.ping.ping());
         }
     }
 
-    /// Whether the process may be sent clients.
-    pub fn serving(&self) -> bool {
-        self.serving.load(Ordering::SeqCst)
-    }
-
-    /// Whether every answer is the last of its connection.
-    pub fn closing(&self) -> bool {
-        self.closing.load(Ordering::SeqCst)
-    }
-
-    /// Whether connections between requests are closed.
-    pub fn emptying(&self) -> bool {
-        self.emptying.load(Ordering::SeqCst)
-    }
-
-    /// Whether no clients are taken any more.
-    pub fn deaf(&self) -> bool {
-        self.deaf.load(Ordering::SeqCst)
-    }
-
-    /// Whether the process ends.
-    pub fn stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+    /// How far the process is.
+    pub fn reached(&self) -> Reached {
+        *locked(&self.reached)
     }
 }
 
--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -579,11 +579,10 @@
 
     #[test]
     fn a_list_asked_for_in_vain_is_asked_for_at_once_where_discovery_has_moved() {
-        let settings: serde_json::Value =
+        let mut settings: serde_json::Value =
             serde_json::from_str(include_str!("../tests/settings.json")).expect("JSON");
-        let mut asked = settings.clone();
-        asked["registryMode"] = "on_request".into();
-        let settings = Settings::read(&asked).expect("settings that hold together");
+        settings["registryMode"] = "on_request".into();
+        let settings = Settings::read(&settings).expect("settings that hold together");
         let event_loop = calloop::EventLoop::<crate::ready::Ready>::try_new().expect("a loop");
         let (handle, mut ids, now) = (event_loop.handle(), ConnIds::default(), 100 * SECOND);
         let listen = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -22,7 +22,7 @@
 use crate::extras::Extras;
 use crate::link::{self, Link};
 use crate::machines::{self, Job, Machines};
-use crate::phase::{Change, Life};
+use crate::phase::{Life, Reached};
 use crate::platform::Platform;
 use crate::process::{Fixed, Process};
 use crate::ready::{Asked, ConnId, ConnIds, Handle, Ready, Who};
@@ -252,10 +252,11 @@
 
     /// Whether the process may exit.
     pub fn stopped(&self) -> bool {
-        match &self.news {
-            Some(news) => news.life.stopped(),
-            None => self.shared.stopped(),
-        }
+        self.reached(self.clock.now()) == Reached::Stopped
+    }
+
+    fn reached(&self, now: Micros) -> Reached {
+        self.news.as_ref().map_or_else(|| self.shared.reached(), |news| news.life.reached(now))
     }
 
     /// One turn: all that the loop has told, news of fleet and stage first, then what is due.
@@ -296,7 +297,7 @@
             }
         }
         self.settle();
-        if self.resting && !self.quiet() {
+        if self.resting && !self.quiet(now) {
             // A lost connection is not made to wait for the end of a rest.
             self.resting = false;
             self.plan_sweep(now + SWEEP);
@@ -516,48 +517,37 @@
     }
 
     /// Whether nothing but requests needs looking after.
-    fn quiet(&self) -> bool {
+    fn quiet(&self, now: Micros) -> bool {
         let news = self.news.as_ref().is_none_or(|news| {
             let linked = news.link.as_ref().is_none_or(Link::at_rest);
             linked && news.discovery.at_rest() && news.platform.at_rest()
         });
-        self.serving() && !self.clients.waiting && news
-    }
-
-    fn serving(&self) -> bool {
-        self.news.as_ref().map_or_else(|| self.shared.serving(), |news| news.life.serving())
+        self.reached(now) == Reached::Serving && !self.clients.waiting && news
     }
 
     fn sweep(&mut self, now: Micros) {
         // The flags of the process are looked at here alone, so a thread that has no news rests less.
-        self.resting = self.quiet() && self.shared.driver().held() == 0 && self.shared.cores() == 1;
+        self.resting = self.quiet(now) && self.shared.driver().held() == 0 && self.shared.cores() == 1;
         self.plan_sweep(now + if self.resting { RESTING } else { SWEEP });
         self.tend_news(now);
         self.machines.tend(now);
         self.clients.tend(now, &mut self.client_notes);
         let held = self.shared.driver().held();
         let done = held == 0 && self.clients.all_gone() && self.shared.others_gone(self.core);
-        let deaf = match &mut self.news {
-            Some(news) => {
-                let change = news.life.tend(now, news.discovery.heard, done);
-                let (life, closing) = (&news.life, self.clients.closing);
-                let (emptying, deaf) = (life.closes_idle(now), !life.listening());
-                self.shared.stands(life.serving(), closing, emptying, deaf, life.stopped());
-                change == Change::StopListening
-            }
-            None => {
-                self.clients.closing = self.shared.closing();
-                self.shared.deaf() && self.clients.listens()
-            }
-        };
-        if deaf {
+        if let Some(news) = &mut self.news {
+            news.life.tend(now, news.discovery.heard, done);
+            self.shared.reach(news.life.reached(now));
+        }
+        let reached = self.shared.reached();
+        self.clients.closing = reached >= Reached::Draining;
+        if reached >= Reached::Deaf && self.clients.listens() {
             // What waits to be accepted has been taken by this machine already.
             while self.clients.accept(&mut self.ids, now) {
                 self.counters.client_conns += 1;
             }
             self.clients.stop_listening();
         }
-        if self.shared.emptying() {
+        if reached >= Reached::Emptying {
             self.clients.close_idle(now);
         }
     }
@@ -722,7 +712,11 @@
 
     fn request(&mut self, client: ConnId, message: garnetcrank_http::Request, now: Micros) {
         if message.target == "/healthz" {
-            let (status, words) = if self.serving() { (200, "serving\n") } else { (503, "not serving\n") };
+            let (status, words) = if self.reached(now) == Reached::Serving {
+                (200, "serving\n")
+            } else {
+                (503, "not serving\n")
+            };
             let notes = &mut self.client_notes;
             return self.clients.answer(client, status, std::iter::empty(), words.as_bytes(), now, notes);
         }
--- a/crates/front/src/phase.rs
+++ b/crates/front/src/phase.rs
@@ -30,13 +30,21 @@
     Stopped,
 }
 
-/// What a change of phase asks of the front.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Change {
-    /// Nothing changed.
-    None,
-    /// The last arrivals are in: empty the backlog, stop listening.
-    StopListening,
+/// How far the process is: each of these holds for all that follow, too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reached {
+    /// No list yet.
+    Starting,
+    /// It may be sent clients.
+    Serving,
+    /// Every answer is the last of its connection.
+    Draining,
+    /// Connections between requests are closed: nobody new is sent here any more.
+    Emptying,
+    /// The last arrivals are in: the backlog is emptied and nobody listens.
+    Deaf,
+    /// It may exit.
+    Stopped,
 }
 
 /// The life of the process.
@@ -54,37 +62,21 @@
         Life { phase: Phase::Starting { since: now }, answers_within }
     }
 
-    /// Whether it may be sent clients.
-    pub fn serving(&self) -> bool {
-        self.phase == Phase::Serving
-    }
-
-    /// Whether it has been told to stop.
-    fn stopping(&self) -> bool {
-        matches!(self.phase, Phase::Draining { .. } | Phase::Stopped)
-    }
-
-    /// Whether clients may still arrive.
-    pub fn listening(&self) -> bool {
-        !matches!(self.phase, Phase::Draining { listening: false, .. } | Phase::Stopped)
-    }
-
-    /// Whether connections between requests are closed: nobody new is sent here any more.
-    pub fn closes_idle(&self, now: Micros) -> bool {
+    /// How far it is.
+    pub fn reached(&self, now: Micros) -> Reached {
         match self.phase {
-            Phase::Draining { since, .. } => now >= since + ARRIVALS - COME_AGAIN,
-            phase => phase == Phase::Stopped,
+            Phase::Starting { .. } => Reached::Starting,
+            Phase::Serving => Reached::Serving,
+            Phase::Draining { listening: false, .. } => Reached::Deaf,
+            Phase::Draining { since, .. } if now >= since + ARRIVALS - COME_AGAIN => Reached::Emptying,
+            Phase::Draining { .. } => Reached::Draining,
+            Phase::Stopped => Reached::Stopped,
         }
     }
 
-    /// Whether it may exit.
-    pub fn stopped(&self) -> bool {
-        self.phase == Phase::Stopped
-    }
-
     /// The word to stop: by when every answer must be given, whatever is held or comes. None if it has come before.
     pub fn stop(&mut self, now: Micros) -> Option<Micros> {
-        if self.stopping() {
+        if matches!(self.phase, Phase::Draining { .. } | Phase::Stopped) {
             return None;
         }
         info!("draining: finishing what is held");
@@ -94,7 +86,7 @@
 
     /// Goes on to the next phase where that is due. `heard`: discovery has told its list; `done`: nothing is
     /// owed to anyone.
-    pub fn tend(&mut self, now: Micros, heard: bool, done: bool) -> Change {
+    pub fn tend(&mut self, now: Micros, heard: bool, done: bool) {
         match self.phase {
             Phase::Starting { since } if heard || now >= since + START_WAIT => {
                 info!("serving{}", if heard { "" } else { " on the list of the configuration" });
@@ -102,7 +94,6 @@
             }
             Phase::Draining { since, listening: true } if now >= since + ARRIVALS => {
                 self.phase = Phase::Draining { since, listening: false };
-                return Change::StopListening;
             }
             Phase::Draining { since, listening: false } if done || now >= since + ARRIVALS + FINISH => {
                 info!("stopped{}", if done { "" } else { " with requests unanswered" });
@@ -110,7 +101,6 @@
             }
             _ => {}
         }
-        Change::None
     }
 }
 
@@ -121,25 +111,24 @@
     #[test]
     fn a_life_from_start_to_exit() {
         let mut life = Life::start(0, 900 * MS);
-        assert!(!life.serving());
-        life.tend(MS, false, true);
-        assert!(!life.serving(), "the list may still come");
-        life.tend(2 * MS, true, true);
-        assert!(life.serving());
+        let at = |life: &mut Life, now, heard, done| {
+            life.tend(now, heard, done);
+            life.reached(now)
+        };
+        assert_eq!(life.reached(0), Reached::Starting);
+        assert_eq!(at(&mut life, MS, false, true), Reached::Starting, "the list may still come");
+        assert_eq!(at(&mut life, 2 * MS, true, true), Reached::Serving);
         assert_eq!(life.stop(SECOND), Some(2_500 * MS));
         assert_eq!(life.stop(2 * SECOND), None, "told once is enough");
-        assert_eq!(life.tend(SECOND + MS, true, true), Change::None, "clients still arrive");
-        assert!(life.listening() && life.stopping() && !life.closes_idle(SECOND + MS));
+        assert_eq!(at(&mut life, SECOND + MS, true, true), Reached::Draining, "clients still arrive");
         // Those whose connections are closed under their request come again while somebody listens.
         let closes = SECOND + ARRIVALS - COME_AGAIN;
-        assert_eq!(life.tend(closes, true, true), Change::None);
-        assert!(life.closes_idle(closes) && life.listening() && !life.closes_idle(closes - 1));
-        assert_eq!(life.tend(2 * SECOND, true, false), Change::StopListening);
-        assert_eq!(life.tend(2 * SECOND, true, false), Change::None);
-        assert!(!life.listening());
-        assert!(!life.stopped(), "something is owed");
-        life.tend(3 * SECOND, true, true);
-        assert!(life.stopped());
+        assert_eq!(at(&mut life, closes - 1, true, true), Reached::Draining);
+        assert_eq!(at(&mut life, closes, true, true), Reached::Emptying);
+        assert_eq!(at(&mut life, SECOND + ARRIVALS - 1, true, true), Reached::Emptying);
+        assert_eq!(at(&mut life, 2 * SECOND, true, false), Reached::Deaf);
+        assert_eq!(at(&mut life, 2 * SECOND, true, false), Reached::Deaf, "something is owed");
+        assert_eq!(at(&mut life, 3 * SECOND, true, true), Reached::Stopped);
     }
 
     #[test]
@@ -156,6 +145,6 @@
     fn without_a_word_of_discovery_it_serves_on_what_it_knows() {
         let mut life = Life::start(0, 900 * MS);
         life.tend(START_WAIT, false, true);
-        assert!(life.serving());
+        assert_eq!(life.reached(START_WAIT), Reached::Serving);
     }
 }
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -858,7 +858,6 @@
     let machine = Machine::start(ok("yes"));
     let (_discovery, _platform, mut plan) = around(&[machine.address]);
     let front = Running::start(&plan);
-    let own = plan.settings.clone();
     // Another customer's: the classes in another order and of other names, and a tenant of another name.
     for grade in plan.settings["grades"].as_array_mut().expect("classes") {
         grade["name"] = format!("other-{}", grade["name"].as_str().expect("a name")).into();
@@ -881,7 +880,6 @@
     let front = Running::start(&plan);
     assert_eq!(front.client().say(&others).expect("an answer").status(), 200);
     assert_eq!(front.client().say(&request("GET", "/look", 900, "")).expect("an answer").status(), 404);
-    assert_ne!(plan.settings, own);
 }
 
 #[test]
