A test forces a client that takes no byte of its answer

The test streams to a client that reads nothing until the ring is over its mark, on the test's own clock: not given up a microsecond early, nor where it has read a little, given up 10 s after that, and whoever holds its request is told. Seen to fail with the limit taken out (assertion all_gone).

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -550,6 +550,35 @@
         assert!(!stand.clients.all_gone(), "its request lies in the kernel");
     }
 
+    #[test]
+    fn a_client_that_takes_no_byte_of_its_answer_is_given_up_and_one_that_takes_some_is_not() {
+        let mut stand = Stand::deaf();
+        stand.send(REQUEST);
+        let id = stand.id();
+        assert!(stand.clients.held(id, RequestId(1)));
+        stand.clients.begin(id, std::iter::empty());
+        let part = [b'x'; 16 * 1024];
+        while !stand.clients.part(id, &part, NOW, &mut stand.notes) {}
+        stand.notes.clear();
+        stand.clients.tend(NOW + STALLED - 1, &mut stand.notes);
+        // What it reads makes room, which the loop tells.
+        let mut some = vec![0; 1024 * 1024];
+        stand.client.read_exact(&mut some).expect("what has come so far");
+        let (later, readiness) =
+            (NOW + STALLED - 1, Readiness { readable: false, writable: true, error: false });
+        let before = stand.clients.clients[&id].conn.output.len();
+        while stand.clients.clients[&id].conn.output.len() == before {
+            stand.clients.ready(id, readiness, later, &mut stand.notes);
+        }
+        while !stand.clients.part(id, &part, later, &mut stand.notes) {}
+        stand.clients.tend(NOW + STALLED, &mut stand.notes);
+        assert!(!stand.clients.all_gone() && !stand.notes.iter().any(|n| matches!(n, Note::Left(_))));
+        // Nothing is taken from here on: the attempt behind it is not kept for it, nor the process.
+        stand.clients.tend(later + STALLED, &mut stand.notes);
+        assert!(stand.clients.all_gone());
+        assert!(matches!(stand.notes[..], [.., Note::Left(RequestId(1))]));
+    }
+
     #[test]
     fn while_it_listens_somebody_may_come() {
         let mut stand = Stand::new();
