A test forces a call for the list under way as discovery moves

The call is held by the old address; a reload that moves nothing lets it go on, one that moves discovery tells the decisions that it is lost, the late answer of the old address counts for nothing, and the next call goes to the new one. Seen to fail without the line ("the decisions must hear").

--- a/crates/front/src/discovery.rs
+++ b/crates/front/src/discovery.rs
@@ -607,6 +607,34 @@
         new.accept().expect("a connection");
     }
 
+    #[test]
+    fn a_call_for_the_list_under_way_as_discovery_moves_is_told_as_lost_and_its_answer_counts_no_more() {
+        let event_loop = calloop::EventLoop::<crate::ready::Ready>::try_new().expect("a loop");
+        let (handle, mut ids, now) = (event_loop.handle(), ConnIds::default(), 100 * SECOND);
+        let listen = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (old, new) = (listen(), listen());
+        let address = |l: &std::net::TcpListener| l.local_addr().expect("an address");
+        let mut d = discovery();
+        let nothing = List { revision: 0, complete: false, members: Vec::new() };
+        d.renew(address(&old), nothing.clone(), now);
+        assert!(d.ask(&handle, &mut ids, now).fleet.is_empty());
+        let (mut held, _) = old.accept().expect("the call");
+        let call = ConnId(ids.next().0 - 1);
+        let same = d.renew(address(&old), nothing.clone(), now);
+        assert!(same.fleet.is_empty() && d.asking.is_some(), "a reload that moves nothing lets it go on");
+        let lost = d.renew(address(&new), nothing, now);
+        assert!(matches!(lost.fleet[..], [Fleet::Unreachable]), "the decisions must hear: {lost:?}");
+        // The old address answers after all.
+        use std::io::Write;
+        let body = r#"{"revision":9,"complete":true,"members":[]}"#;
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let _ = held.write_all(answer.as_bytes()); // it may be closed by now
+        let readiness = Readiness { readable: true, writable: true, error: false };
+        assert!(d.ready(call, readiness, now).fleet.is_empty() && !d.heard);
+        assert!(d.ask(&handle, &mut ids, now).fleet.is_empty());
+        new.accept().expect("the next call goes where it is now");
+    }
+
     #[test]
     fn a_list_that_cannot_be_read_is_told_from_one_that_can() {
         let mut d = discovery();
