What has not come by its aim is late, and counts in the limit then

From 30 s on a bad build slowed all machines; of what came then 63% had no answer by its deadline and only 9% were refused.

At fault: src/brain.rs, learn and housekeeping: the limit follows how late answers come and hears of an answer only when it has come or its deadline is over. Where a late one is worth nothing an attempt is cut at its aim; where it is waited for, a full fleet told nothing for a whole deadline and was sent everything.

The change: each tick counts attempts that have been out for their aim, once, as they would count at their end.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -384,8 +384,7 @@
     /// and blamed if old and new are still slow 3 s after it was suspected. Harm: a trouble that came along.
     fn judge_fleet(&mut self, stage: Stage) -> Mark {
         let (now, build, dosed) = (self.now, stage.build, self.dosed());
-        let (surely, enough) = (self.surely(), self.enough(RECENT));
-        let trial = stage.phase == Phase::Trial;
+        let (surely, enough, trial) = (self.surely(), self.enough(RECENT), stage.phase == Phase::Trial);
         let mut times = self.times(self.earlier(build).filter(|_| trial));
         times.extend(self.times(self.records.get(&build).filter(|_| trial && !dosed)));
         let old = Level::of(&times);
@@ -559,8 +558,7 @@
         }
         let rollout = &self.config.rollout;
         let first = rollout.caps.first().copied().unwrap_or(0.0);
-        let news = self.news.filter(|n| n.build == build);
-        let (stage, cap) = news.map_or((0, first), |n| (n.stage, n.cap));
+        let (stage, cap) = self.news.filter(|n| n.build == build).map_or((0, first), |n| (n.stage, n.cap));
         let safe = self.config.classes[class.0].effect == Effect::Safe;
         if cap <= 0.0 || (stage < rollout.guarded_stages && !safe) {
             return false;
@@ -636,8 +634,7 @@
 
     /// A build that failed or is withheld is used only for want of others. A class that fails is still sent.
     fn shunned(&self, build: Build) -> bool {
-        let fresh = |since: Micros| self.now < since + SUSTAINED && self.dosed();
-        let withheld = |r: &Record| r.suspected.is_some_and(|(since, _)| fresh(since));
+        let withheld = |r: &Record| r.suspected.is_some_and(|s| self.now < s.0 + SUSTAINED) && self.dosed();
         self.records.get(&build).is_some_and(|r| r.state == State::Failed || withheld(r))
     }
 
@@ -747,8 +744,7 @@
         if let Some(machine) = choice {
             let (entry, class) = (self.machines[&machine].entry, held.request.class);
             let (build, warmth) = (entry.build, self.warmth(&entry));
-            let budget = self.cold_budget(&self.machines[&machine]);
-            let cold = budget.map(|(earned, _)| (earned, self.work(&held.request)));
+            let cold = self.cold_budget(&self.machines[&machine]).map(|b| (b.0, self.work(&held.request)));
             if let Some(m) = self.machines.get_mut(&machine) {
                 m.open += 1;
                 if let Some((earned, work)) = cold {
@@ -757,7 +753,7 @@
                 }
             }
             self.record(build).attempts.add(now, class);
-            held.attempts.push(Attempt { machine, build, sent: now, warmth, outcome: None });
+            held.attempts.push(Attempt { machine, build, sent: now, warmth, late: false, outcome: None });
             self.open += 1;
             let time_out = cut.then(|| useful.saturating_sub(now).max(MS));
             self.out.push(Action::Place { id, machine, time_out });
@@ -792,7 +788,7 @@
 
     /// What the end of an attempt tells: of its machine, of how full the fleet is, and of its build.
     fn learn(&mut self, request: &Request, tried: &Attempt, outcome: Outcome, lag: Micros) {
-        let &Attempt { machine, build, sent, warmth, .. } = tried;
+        let &Attempt { machine, build, sent, warmth, late, .. } = tried;
         let cold = warmth.is_some();
         self.open = self.open.saturating_sub(1);
         let Some(m) = self.machines.get_mut(&machine) else { return };
@@ -807,8 +803,8 @@
         let used = lag as f64 / self.config.classes[request.class.0].aim.max(1) as f64;
         // A quick refusal is no quick answer, a stalled machine no full fleet, a lost connection nothing.
         let used = if outcome == Outcome::Served { used.min(1.0) } else { 1.0 };
-        let weight = if matches!(outcome, Outcome::Unreached | Outcome::Broken) { 0.0 } else { TIME_NEWEST };
-        self.time_used += (used - self.time_used) * weight;
+        let silent = late || matches!(outcome, Outcome::Unreached | Outcome::Broken);
+        self.time_used += (used - self.time_used) * if silent { 0.0 } else { TIME_NEWEST };
         if matches!(outcome, Outcome::Served | Outcome::TimedOut) {
             let missed = f64::from(u8::from(used >= 1.0));
             for group in self.groups_of(request).into_iter().flatten() {
@@ -835,9 +831,7 @@
         };
         let slower = timed.filter(|_| !cold);
         let pace = self.paces.entry(zone).or_default();
-        if let Some(slower) = slower.filter(|_| !on_trial) {
-            pace.add(self.now, slower, TIME_NEWEST, ALIVE);
-        }
+        slower.filter(|_| !on_trial).into_iter().for_each(|s| pace.add(self.now, s, TIME_NEWEST, ALIVE));
         // A cold machine's time-outs say nothing of its build, and it is taken for as slow as it may be.
         if matches!(outcome, Outcome::Served | Outcome::Error) || outcome == Outcome::TimedOut && !cold {
             // At the last stage the earlier machines are being emptied and no measure any more.
@@ -893,6 +887,12 @@
             self.ask_at = Some(self.now + 2 * AGAIN_MOST); // lest the answer is lost
             self.out.push(Action::Subscribe(true));
         }
+        // What has not come by its aim is late, and counts then. Danger: where late answers are worth waiting
+        // for, a full fleet would show as late as they come, and be sent more until then.
+        for held in self.held.values_mut() {
+            let late = held.newly_late(self.now, self.config.classes[held.request.class.0].aim);
+            self.time_used = 1.0 - (1.0 - self.time_used) * (1.0 - TIME_NEWEST).powi(late);
+        }
         if self.time_used > FULL_TIME {
             let least = LEAST_OPEN * self.listed.len() as f64 / f64::from(self.config.fronts);
             let least = least.max(LEAST_USUAL * self.usual_open);
--- a/src/state.rs
+++ b/src/state.rs
@@ -187,6 +187,7 @@
     pub(crate) build: Build,
     pub(crate) sent: Micros,
     pub(crate) warmth: Option<f64>, // of its machine, where that was cold
+    pub(crate) late: bool,          // for longer out than its aim, which was counted then
     pub(crate) outcome: Option<Outcome>,
 }
 
@@ -217,6 +218,12 @@
 }
 
 impl Held {
+    /// Marks the attempts that are out for longer than `aim`: how many were not marked before.
+    pub(crate) fn newly_late(&mut self, now: Micros, aim: Micros) -> i32 {
+        let due = |a: &&mut Attempt| a.open() && !a.late && now >= a.sent + aim;
+        self.attempts.iter_mut().filter(due).map(|tried| tried.late = true).count() as i32
+    }
+
     pub(crate) fn may_have_run(&self) -> bool {
         self.attempts.iter().any(Attempt::may_have_run)
     }
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -342,3 +342,25 @@
     let back = turns(&mut rig, &|_| Outcome::Served);
     assert!(back >= 1, "there is a way back: {back} of 200");
 }
+
+#[test]
+fn late_answers_are_waited_for_and_a_full_fleet_is_sent_more_until_they_come() {
+    let mut patient = config();
+    patient.classes.iter_mut().for_each(|c| (c.late_worth, c.deadline) = (0.2, 60_000 * MS));
+    let mut rig = Rig::new(patient);
+    rig.list((0..6).map(|m| entry(m, OLD)).collect());
+    rig.send(Event::Stage(stage(OLD, 2, Phase::Released, 1.0)));
+    rig.traffic(5_000, |_, _| Outcome::Served);
+    // From here on nothing is answered for a long time: each request stays open until its deadline, a minute on.
+    let open: usize = (0..200)
+        .filter(|turn| {
+            rig.tick(25);
+            let (id, deadline) = (RequestId(1_000_000 + turn), rig.now + 60_000 * MS);
+            let (class, tenant, key, hint) = (READ, None, None, Some(100 * MS));
+            let request = Request { id, class, tenant, key, deadline, hint, repeat: false };
+            placed(&rig.send(Event::Request(request))).is_some()
+        })
+        .count();
+    // Sixteen were due when the first one's aim was over; a limit that knows is there a second later.
+    assert!(open < 60, "{open} of 200 requests are open though not one was answered within its aim");
+}
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -108,11 +108,15 @@
     let sent = |rig: &mut Rig, requests: u32, class: ClassId, all: &dyn Fn(ClassId) -> Outcome| {
         let mut sent = 0;
         for _ in 0..requests {
-            let (id, out) = rig.request(class);
+            let (id, mut out) = rig.request(class);
             sent += usize::from(placed(&out).is_some());
-            if placed(&out).is_some() {
-                let lag = if all(class) == Outcome::Served { 40 * MS } else { 400 * MS };
-                rig.done(id, 0, all(class), lag);
+            let lag = if all(class) == Outcome::Served { 40 * MS } else { 400 * MS };
+            // Further attempts end as the first one did: none stays open.
+            for attempt in 0.. {
+                if placed(&out).is_none() {
+                    break;
+                }
+                out = rig.done(id, attempt, all(class), lag);
             }
             rig.tick(25);
         }
