In a test of agents the front goes on saying its verdict, as fronts do

Checked: a word stands for 1.2 s there (Trust::new(me, 2 * life), life 600 ms), and the test says it once before it waits for a caster; if the next grant takes longer, the word has lapsed and nobody is ever told to cast. Probe: with 1.5 s between the two the test fails each time with the same words. Fronts renew theirs at half its life (crates/ballots), so the agent is sound.

At fault: crates/agent/tests/processes.rs, told. Now the front says its word again while it is waited for; with the same 1.5 s put in the test passes. Nothing that is asserted changes. All seven tests of the file pass.

--- a/crates/agent/tests/processes.rs
+++ b/crates/agent/tests/processes.rs
@@ -147,11 +147,13 @@
     cluster: &Cluster,
     within: &[usize],
     what: &str,
+    meanwhile: impl Fn(),
     will_do: impl Fn(&serde_json::Value) -> bool,
 ) -> usize {
     let watches: Vec<_> = within.iter().map(|at| (*at, cluster.watch(*at, &format!("front-{at}")))).collect();
     let mut found = None;
     until(what, || {
+        meanwhile();
         found =
             watches.iter().find(|(_, lines)| lines.try_iter().any(|line| will_do(&line))).map(|(at, _)| *at);
         found.is_some()
@@ -171,15 +173,21 @@
     until("the verdict is passed on", || say(1));
     let back =
         |line: &serde_json::Value| line["cast"]["opinion"]["word"] == "back" && line["condemned"][0] == 42;
-    let caster = told(&cluster, &[0, 1, 2], "one front is told to cast", back);
+    // A front goes on saying what it holds: said once, it lapses where the next grant takes longer than it stands.
+    let again = |at: usize| {
+        move || {
+            say(at);
+        }
+    };
+    let caster = told(&cluster, &[0, 1, 2], "one front is told to cast", again(1), back);
     cluster.freeze(caster);
     let others: Vec<usize> = (0..3).filter(|at| *at != caster).collect();
     until("the others have a leader", || say(others[0]));
-    let next = told(&cluster, &others, "another front is told to cast", back);
+    let next = told(&cluster, &others, "another front is told to cast", again(others[0]), back);
     assert_ne!(next, caster);
     cluster.wake(caster);
     let off = |line: &serde_json::Value| line["cast"].is_null() && line["condemned"][0] == 42;
-    told(&cluster, &[caster], "the one that froze is told to cast no more", off);
+    told(&cluster, &[caster], "the one that froze is told to cast no more", || {}, off);
 }
 
 #[test]
