Review case 3: half-sent bodies take the proxy over its memory limit

Cause: the budget of bodies counts complete requests alone, so what clients have sent of incomplete ones is bounded by descriptors only.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+number=3
+. "$(dirname "$0")/../stand-ins/run.sh"
