--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -15,7 +15,7 @@
 
 const MACHINES: usize = 4;
 const USUAL_CLIENTS: usize = 4;
-const BAD_CLIENTS: usize = 40;
+const BAD_CLIENTS: usize = 60;
 /// Requests that a bad client has open at once.
 const AT_ONCE: usize = 300;
 
