Review stand-ins: one start of machines, and the deploy file's own command

Need: the cases repeated the start of their machines, named the command of the proxy by hand, and kept the number of an ended process in a file. Change: the stand-ins start the machines and take the command from the line run of deploy/balancer.toml; the file goes with its process.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -10,8 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::http::{Conn, listen, request};
-use common::{Case, Machine, control, fresh_id, judge, serve_machine, sound_reply, usual_clients};
+use common::http::{Conn, request};
+use common::{Case, control, fresh_id, judge, usual_clients};
 
 const MACHINES: usize = 4;
 const USUAL_CLIENTS: usize = 4;
@@ -21,14 +21,7 @@
 
 fn main() {
     let case = Case::from_arguments();
-    let machines: Vec<SocketAddr> = (0..MACHINES)
-        .map(|n| {
-            let (listener, address) = listen();
-            let machine = Machine::new(&format!("s-{n}"), &case.record, Duration::from_millis(40));
-            serve_machine(listener, machine, sound_reply);
-            address
-        })
-        .collect();
+    let machines = case.sound_machines(MACHINES);
     let front = case.start_front(&machines, 192, 256);
     let until = Instant::now() + Duration::from_secs(12);
     let clients = usual_clients(&case, front.address, USUAL_CLIENTS, until);
@@ -39,7 +32,9 @@
         case.record.line(format!("{BAD_CLIENTS} bad clients with {AT_ONCE} requests at once"));
         for _ in 0..BAD_CLIENTS {
             let (answers, address) = (Arc::clone(&answers), front.address);
-            thread::spawn(move || while Instant::now() < until && flood(address, until, &answers).is_err() {});
+            thread::spawn(
+                move || while Instant::now() < until && flood(address, until, &answers).is_err() {},
+            );
         }
     }
     let code = judge(&case, clients, control);
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -3,12 +3,11 @@
 #[path = "../stand-ins/common.rs"]
 mod common;
 
-use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::http::{Conn, listen};
-use common::{Case, Machine, control, judge, serve_machine, sound_reply, usual_clients};
+use common::http::Conn;
+use common::{Case, control, judge, usual_clients};
 
 const MACHINES: usize = 4;
 const USUAL_CLIENTS: usize = 8;
@@ -16,14 +15,7 @@
 
 fn main() {
     let case = Case::from_arguments();
-    let machines: Vec<SocketAddr> = (0..MACHINES)
-        .map(|n| {
-            let (listener, address) = listen();
-            let machine = Machine::new(&format!("s-{n}"), &case.record, Duration::from_millis(40));
-            serve_machine(listener, machine, sound_reply);
-            address
-        })
-        .collect();
+    let machines = case.sound_machines(MACHINES);
     let front = case.start_front(&machines, 192, 256);
     let until = Instant::now() + Duration::from_secs(10);
     let clients = usual_clients(&case, front.address, USUAL_CLIENTS, until);
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -8,9 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::http::{Conn, listen, request};
-use common::{BROKEN, COULD_NOT_RUN, Case, Front, Machine};
-use common::{control, fresh_id, judge, serve_machine, sound_reply, usual_clients};
+use common::http::{Conn, request};
+use common::{BROKEN, COULD_NOT_RUN, Case, Front};
+use common::{control, fresh_id, judge, usual_clients};
 
 const MACHINES: usize = 4;
 const USUAL_CLIENTS: usize = 8;
@@ -21,14 +21,7 @@
 
 fn main() {
     let case = Case::from_arguments();
-    let machines: Vec<SocketAddr> = (0..MACHINES)
-        .map(|n| {
-            let (listener, address) = listen();
-            let machine = Machine::new(&format!("s-{n}"), &case.record, Duration::from_millis(40));
-            serve_machine(listener, machine, sound_reply);
-            address
-        })
-        .collect();
+    let machines = case.sound_machines(MACHINES);
     let mut front = case.start_front(&machines, MEMORY_MB, 1024);
     let until = Instant::now() + Duration::from_secs(10);
     let clients = usual_clients(&case, front.address, USUAL_CLIENTS, until);
--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -7,7 +7,7 @@
 #[path = "http.rs"]
 pub mod http;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -20,7 +20,7 @@
 use http::{Conn, answer, listen, request, serve};
 
 pub const BROKEN: i32 = 1;
-pub const HELD: i32 = 0;
+const HELD: i32 = 0;
 pub const COULD_NOT_RUN: i32 = 2;
 
 /// State of the newest build: released, so that the days are without a trial.
@@ -43,34 +43,31 @@
 }
 
 /// A machine with two cores and a queue. It works for a fixed time on each request, and answers with a body made for it.
-pub struct Machine {
+struct Machine {
     name: String,
     record: Record,
     work: Duration,
     /// Numbers of requests that run and that wait.
     load: Mutex<(usize, usize)>,
     core_free: Condvar,
-    /// How often each request has run.
-    pub runs: Mutex<HashMap<String, u32>>,
 }
 
 const CORES: usize = 2;
 const QUEUE: usize = 40;
 
 impl Machine {
-    pub fn new(name: &str, record: &Record, work: Duration) -> Arc<Machine> {
+    fn new(name: &str, record: &Record, work: Duration) -> Arc<Machine> {
         Arc::new(Machine {
             name: name.to_owned(),
             record: record.clone(),
             work,
             load: Mutex::new((0, 0)),
             core_free: Condvar::new(),
-            runs: Mutex::new(HashMap::new()),
         })
     }
 
     /// Runs a request. Returns false if the queue is full.
-    pub fn run(&self, id: &str) -> bool {
+    fn run(&self, id: &str) -> bool {
         let mut load = self.load.lock().expect("lock");
         if load.0 >= CORES {
             if load.1 >= QUEUE {
@@ -84,7 +81,6 @@
         }
         load.0 += 1;
         drop(load);
-        *self.runs.lock().expect("lock").entry(id.to_owned()).or_default() += 1;
         self.record.line(format!("run    {id} at {}", self.name));
         thread::sleep(self.work);
         self.load.lock().expect("lock").0 -= 1;
@@ -94,23 +90,21 @@
 }
 
 /// The body that a machine makes for a request.
-pub fn body_for(id: &str) -> Vec<u8> {
+fn body_for(id: &str) -> Vec<u8> {
     format!("made for {id}").into_bytes()
 }
 
-/// Serves a machine's connections. `reply` gives the bytes of the answer to a request that has run.
-pub fn serve_machine(
-    listener: TcpListener,
-    machine: Arc<Machine>,
-    reply: impl Fn(&str) -> Vec<u8> + Send + Sync + 'static,
-) {
+/// Starts a sound machine on a free port.
+fn start_machine(name: &str, record: &Record) -> SocketAddr {
+    let machine = Machine::new(name, record, Duration::from_millis(40));
+    let (listener, address) = listen();
     serve(listener, move |mut conn| {
         while let Ok(request) = conn.read() {
             let id = request.header("request-id");
             let bytes = if id.is_empty() {
                 answer("404 Not Found", "", b"")
             } else if machine.run(id) {
-                reply(id)
+                answer("200 OK", "", &body_for(id))
             } else {
                 answer("503 Service Unavailable", "Not-Started: 1\r\n", b"")
             };
@@ -119,11 +113,7 @@
             }
         }
     });
-}
-
-/// Returns the answer of a sound machine.
-pub fn sound_reply(id: &str) -> Vec<u8> {
-    answer("200 OK", "", &body_for(id))
+    address
 }
 
 /// Writes the head of an answer that stays open, its first line, and then `sign` as often as `every`.
@@ -167,6 +157,7 @@
 /// The program under test. It is killed when dropped.
 pub struct Front {
     child: Child,
+    pid_file: String,
     pub address: SocketAddr,
 }
 
@@ -179,11 +170,8 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-    }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+        // The number may be another process's from now on.
+        let _ = std::fs::remove_file(&self.pid_file);
     }
 }
 
@@ -215,10 +203,16 @@
         Case { folder, record, trouble }
     }
 
+    /// Starts sound machines that work 40 ms on each request.
+    pub fn sound_machines(&self, count: usize) -> Vec<SocketAddr> {
+        (0..count).map(|n| start_machine(&format!("s-{n}"), &self.record)).collect()
+    }
+
     /// Starts discovery, the platform and the program by the command of `deploy/balancer.toml`, and waits until it is
     /// ready.
     pub fn start_front(&self, machines: &[SocketAddr], memory_mb: u64, sockets: u64) -> Front {
-        let members: Vec<String> = machines.iter().enumerate().map(|(n, address)| member(n, *address)).collect();
+        let members: Vec<String> =
+            machines.iter().enumerate().map(|(n, address)| member(n, *address)).collect();
         let list = format!(r#"{{"revision":41,"complete":true,"members":[{}]}}"#, members.join(","));
         let (discovery_listener, discovery) = listen();
         serve_discovery(discovery_listener, list.clone());
@@ -236,7 +230,7 @@
         std::fs::write(&path, config).expect("the configuration can be written");
         let log = File::create(format!("{}/front.log", self.folder)).expect("the log can be written");
         let child = Command::new("/bin/sh")
-            .args(["-c", "exec target/release/garnetcrank-proxy"])
+            .args(["-c", &deployed_command()])
             .env("RELAY_CONFIG", &path)
             .env("RELAY_NAME", "n1")
             .env("RELAY_LISTEN", address.to_string())
@@ -245,8 +239,9 @@
             .stderr(log)
             .spawn()
             .expect("the shell starts");
-        std::fs::write(format!("{}/front.pid", self.folder), child.id().to_string()).expect("the pid can be written");
-        let front = Front { child, address };
+        let pid_file = format!("{}/front.pid", self.folder);
+        std::fs::write(&pid_file, child.id().to_string()).expect("the pid can be written");
+        let front = Front { child, pid_file, address };
         if !is_ready(address) {
             println!("the front is not ready within 10 s");
             drop(front);
@@ -257,12 +252,21 @@
     }
 }
 
+/// Returns the command of the line `run` in the deploy file.
+fn deployed_command() -> String {
+    let file = std::fs::read_to_string("deploy/balancer.toml").expect("the deploy file can be read");
+    let line = file.lines().find_map(|line| line.strip_prefix("run = \""));
+    let command = line.and_then(|line| line.split('"').next()).expect("the deploy file has a line run");
+    command.to_owned()
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let give_up = Instant::now() + Duration::from_secs(10);
     while Instant::now() < give_up {
         if let Ok(mut conn) = Conn::connect(address) {
             let _ = conn.stream.set_read_timeout(Some(Duration::from_secs(1)));
-            let _ = conn.send(b"GET /healthz HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n");
+            let _ =
+                conn.send(b"GET /healthz HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n");
             if conn.read().is_ok_and(|answer| answer.status() == 200) {
                 return true;
             }
@@ -303,7 +307,14 @@
 
 /// Sends a request on the kept connection or a new one, and once more on a new one if the kept one is closed at that
 /// moment.
-pub fn send(kept: &mut Option<Conn>, front: SocketAddr, class: &str, id: &str, timeout_ms: u64, body: &[u8]) -> Fate {
+fn send(
+    kept: &mut Option<Conn>,
+    front: SocketAddr,
+    class: &str,
+    id: &str,
+    timeout_ms: u64,
+    body: &[u8],
+) -> Fate {
     let bytes = request(class, id, timeout_ms, body);
     let limit = Duration::from_millis(timeout_ms) + LATE;
     let mut sent_at = None;
@@ -322,7 +333,9 @@
                 }
                 return fate;
             }
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Fate::NoAnswer,
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Fate::NoAnswer;
+            }
             Err(_) if is_new => return Fate::Closed,
             Err(_) => {}
         }
@@ -330,7 +343,7 @@
 }
 
 /// Time that the usual clients give a request.
-pub const USUAL_TIMEOUT_MS: u64 = 1000;
+const USUAL_TIMEOUT_MS: u64 = 1000;
 
 /// Starts usual clients. Each keeps its connection and sends a request, waits for its answer, and pauses.
 pub fn usual_clients(
@@ -344,11 +357,14 @@
         let mut fates = Vec::new();
         while Instant::now() < until {
             let id = fresh_id();
-            let (class, body): (&str, &[u8]) = if fates.len() % 5 == 4 { ("order", b"port 1") } else { ("lookup", b"") };
+            let (class, body): (&str, &[u8]) =
+                if fates.len() % 5 == 4 { ("order", b"port 1") } else { ("lookup", b"") };
             record.line(format!("sent   {id} {class}"));
             let fate = send(&mut kept, front, class, &id, USUAL_TIMEOUT_MS, body);
             record.line(match &fate {
-                Fate::Answered { status, body } => format!("answer {id} {status} {}", String::from_utf8_lossy(body)),
+                Fate::Answered { status, body } => {
+                    format!("answer {id} {status} {}", String::from_utf8_lossy(body))
+                }
                 other => format!("LOST?  {id} {other:?}"),
             });
             fates.push((id, fate));
@@ -367,8 +383,7 @@
 /// Measures whether the stand-ins keep up: a request straight to a machine that is not in the list, every 100 ms.
 /// Returns the longest time of an answer.
 pub fn control(case: &Case, until: Instant) -> JoinHandle<Duration> {
-    let (listener, address) = listen();
-    serve_machine(listener, Machine::new("control", &case.record, Duration::from_millis(40)), sound_reply);
+    let address = start_machine("control", &case.record);
     thread::spawn(move || {
         let mut kept = None;
         let mut longest = Duration::ZERO;
@@ -383,12 +398,18 @@
 }
 
 /// Judges the usual clients' requests by the rule on lost requests, prints the figures, and returns the exit code.
-pub fn judge(case: &Case, clients: Vec<JoinHandle<Vec<(String, Fate)>>>, control: JoinHandle<Duration>) -> i32 {
+pub fn judge(
+    case: &Case,
+    clients: Vec<JoinHandle<Vec<(String, Fate)>>>,
+    control: JoinHandle<Duration>,
+) -> i32 {
     let mut counts: BTreeMap<String, usize> = BTreeMap::new();
     let mut lost = 0;
     for (id, fate) in clients.into_iter().flat_map(|client| client.join().expect("a client ends")) {
         let (kind, is_lost) = match &fate {
-            Fate::Answered { status: 200, body } if *body != body_for(&id) => ("200 with another body".to_owned(), true),
+            Fate::Answered { status: 200, body } if *body != body_for(&id) => {
+                ("200 with another body".to_owned(), true)
+            }
             Fate::Answered { status, .. } => (status.to_string(), false),
             Fate::NotTaken => ("not taken".to_owned(), false),
             Fate::Closed => ("closed without an answer".to_owned(), true),
@@ -398,7 +419,10 @@
         lost += usize::from(is_lost);
     }
     let longest = control.join().expect("the control ends");
-    let line = format!("usual clients: {counts:?}, lost {lost}; longest answer of the control {} ms", longest.as_millis());
+    let line = format!(
+        "usual clients: {counts:?}, lost {lost}; longest answer of the control {} ms",
+        longest.as_millis()
+    );
     println!("{line}");
     case.record.line(&line);
     let code = if longest > Duration::from_millis(400) {
