Review cases: each run.sh reads TROUBLE and names its record itself

Need: the cases' scripts left both to a file that they shared, so that nothing in a case's folder read TROUBLE or wrote record.txt. Change: each run.sh is whole in itself and hands both to its program; case 3 records what each of its bad clients sends, too.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::http::{Conn, request};
-use common::{BROKEN, COULD_NOT_RUN, Case, Front};
+use common::{BROKEN, COULD_NOT_RUN, Case, Front, Record};
 use common::{control, fresh_id, judge, usual_clients};
 
 const MACHINES: usize = 4;
@@ -29,10 +29,12 @@
     let trouble_at = Instant::now() + Duration::from_secs(3);
     let address = front.address;
     if case.trouble {
+        let record = case.record.clone();
         thread::spawn(move || {
             thread::sleep(trouble_at.saturating_duration_since(Instant::now()));
             for _ in 0..BAD_CLIENTS {
-                thread::spawn(move || stop_near_the_end(address));
+                let record = record.clone();
+                thread::spawn(move || stop_near_the_end(address, &record));
             }
         });
     }
@@ -48,10 +50,14 @@
 }
 
 /// Sends all but the last byte of a request with the largest body, and waits for the error or the close.
-fn stop_near_the_end(front: SocketAddr) {
+fn stop_near_the_end(front: SocketAddr, record: &Record) {
     let Ok(mut conn) = Conn::connect(front) else { return };
-    let bytes = request("order", &fresh_id(), 1000, &[b'x'; BODY_BYTES]);
-    let _ = conn.send(&bytes[..bytes.len() - 1]).and_then(|()| conn.read());
+    let id = fresh_id();
+    let bytes = request("order", &id, 1000, &[b'x'; BODY_BYTES]);
+    let sent = &bytes[..bytes.len() - 1];
+    record.line(format!("bad client: sends {} of {} bytes of {id}", sent.len(), bytes.len()));
+    let outcome = conn.send(sent).and_then(|()| conn.read()).map(|answer| answer.status());
+    record.line(format!("bad client: {id} ended with {outcome:?}"));
 }
 
 /// Does what the platform does: kills the front once its anonymous memory, without the pages of files, is over the limit. Returns whether it did.
--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -189,18 +189,18 @@
 }
 
 impl Case {
-    /// Reads the arguments (a temporary folder, the path of the record) and `TROUBLE`.
+    /// Reads the arguments: a temporary folder, the path of the record, and 0 for a run without the disruption.
     pub fn from_arguments() -> Case {
-        let mut arguments = std::env::args().skip(1);
-        let (Some(folder), Some(path)) = (arguments.next(), arguments.next()) else {
-            println!("arguments: FOLDER RECORD");
+        let arguments: Vec<String> = std::env::args().skip(1).collect();
+        let [folder, path, trouble] = arguments.as_slice() else {
+            println!("arguments: FOLDER RECORD TROUBLE");
             std::process::exit(COULD_NOT_RUN);
         };
         let file = File::create(path).expect("the record can be written");
         let record = Record { file: Arc::new(Mutex::new(file)), start: Instant::now() };
-        let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+        let trouble = trouble != "0";
         record.line(format!("trouble: {trouble}"));
-        Case { folder, record, trouble }
+        Case { folder: folder.clone(), record, trouble }
     }
 
     /// Starts sound machines that work 40 ms on each request.
