--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -41,8 +41,7 @@
     let [served, turned_away] = &*answers;
     case.record.line(format!("bad clients: served {served:?}, turned away {turned_away:?}"));
     println!("bad clients: served {served:?}, turned away {turned_away:?}");
-    drop(front);
-    std::process::exit(code);
+    case.end(front, code);
 }
 
 /// Sends [`AT_ONCE`] requests, reads every answer, and sends a request again for each one that was turned away.
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -35,6 +35,5 @@
         }
     }
     let code = judge(&case, clients, control);
-    drop(front);
-    std::process::exit(code);
+    case.end(front, code);
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -45,8 +45,7 @@
         code => code,
     };
     println!("killed for memory: {killed}");
-    drop(front);
-    std::process::exit(code);
+    case.end(front, code);
 }
 
 /// Sends all but the last byte of a request with the largest body, and waits for the error or the close.
--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -203,6 +203,13 @@
         Case { folder: folder.clone(), record, trouble }
     }
 
+    /// Kills the front, records the exit code and ends the program with it.
+    pub fn end(&self, front: Front, code: i32) -> ! {
+        drop(front);
+        self.record.line(format!("exit {code}"));
+        std::process::exit(code)
+    }
+
     /// Starts sound machines that work 40 ms on each request.
     pub fn sound_machines(&self, count: usize) -> Vec<SocketAddr> {
         (0..count).map(|n| start_machine(&format!("s-{n}"), &self.record)).collect()
@@ -425,14 +432,12 @@
     );
     println!("{line}");
     case.record.line(&line);
-    let code = if longest > Duration::from_millis(400) {
+    if longest > Duration::from_millis(400) {
         println!("the stand-ins did not keep up");
         COULD_NOT_RUN
     } else if lost > 0 {
         BROKEN
     } else {
         HELD
-    };
-    case.record.line(format!("exit {code}"));
-    code
+    }
 }
