An incomplete request gives way where its descriptor is needed

Cause: with all places taken, accept_clients waits for a client that can be evicted, and is_evictable took idle ones alone, so that a client that stopped midway kept its place for READ_TIMEOUT. Evidence: accepts_paused grows, clients_made_way does not, then bad_late; 8 lost, answered after 2.5 s.

Change: where a place or a descriptor is needed and no connection is idle, the request that has been incomplete for longest gets a 503 and its connection is closed, from 100 ms after its first byte on. This works because the time counts from the first byte, whatever dribbles in after it, and because a 503 is final and harmless. New counter bad_shed. A client that was accepted late is read to its end before its request counts, so one that has given up is not forwarded. The search for a client to evict no longer takes a system call for each candidate.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -128,6 +128,8 @@
     peak_upstream_connections: "peak_machine_conns",
     /// Most requests in flight at once, on all workers together.
     peak_in_flight: "peak_held",
+    /// Bad requests that were rejected while incomplete, since their descriptors were needed.
+    partial_requests_shed: "bad_shed",
     /// Connections left to the next turn, since they had done what they may do in one.
     connection_deferrals: "deferred",
 }
--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -50,6 +50,8 @@
     pub(crate) descriptors_scarce: bool,
     /// Whether connections may be waiting to be accepted.
     pub(crate) accept_pending: bool,
+    /// Whether the connection that is accepted next has waited for want of a descriptor.
+    pub(crate) accept_delayed: bool,
     /// Number of connections closed because they were idle for too long.
     pub(crate) idle_closed: u64,
 }
@@ -89,6 +91,7 @@
             close_after_response: false,
             descriptors_scarce: false,
             accept_pending: true,
+            accept_delayed: false,
             idle_closed: 0,
         })
     }
@@ -129,12 +132,13 @@
                     Connection::adopt(&self.handle, stream, source, INPUT_RING_BYTES, OUTPUT_RING_BYTES);
                 // Fails if the client has already disconnected; the connection is dropped then.
                 if let Ok(connection) = adopted {
-                    self.clients.insert(id, Client::new(connection, now));
+                    self.clients.insert(id, Client::new(connection, self.accept_delayed, now));
                 }
                 true
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                 self.accept_pending = false;
+                self.accept_delayed = false;
                 false
             }
             // After an aborted connection others may be waiting. Any other error, such as a lack of
@@ -317,17 +321,36 @@
     /// whose last response has been sent are preferred, then those that have not sent a request yet, then the
     /// one with the longest time since its last progress.
     pub(crate) fn evict_idle(&mut self, now: Micros) -> bool {
-        let evictable = self
-            .clients
-            .iter()
-            .filter(|(_, client)| client.is_evictable(now) && client.connection.is_open_without_input());
-        let first = evictable
-            .min_by_key(|(id, client)| (!client.write_shut_down, !client.is_new, client.last_progress, **id));
-        let Some(id) = first.map(|(id, _)| *id) else { return false };
+        let evictable = self.clients.iter().filter(|(_, client)| client.is_evictable(now));
+        let mut in_order: Vec<_> = evictable
+            .map(|(id, client)| (!client.write_shut_down, !client.is_new, client.last_progress, *id))
+            .collect();
+        in_order.sort_unstable();
+        // Checked last, as each check is a system call.
+        let is_open_without_input = |id: &ConnId| self.clients[id].connection.is_open_without_input();
+        let Some(id) = in_order.into_iter().map(|(.., id)| id).find(is_open_without_input) else {
+            return false;
+        };
         self.clients.remove(&id);
         true
     }
 
+    /// Rejects the request that has been incomplete for the longest time, and closes its connection to free the file
+    /// descriptor. Returns false if there is none that may be rejected. The rest of a request that a client still sends
+    /// is answered by a reset, which comes after the response.
+    pub(crate) fn shed_partial_request(&mut self, now: Micros, events: &mut Vec<DownstreamEvent>) -> bool {
+        let sheddable = self.clients.iter().filter(|(_, client)| client.is_sheddable(now));
+        let oldest = sheddable.min_by_key(|(id, client)| (client.last_progress, **id));
+        let Some(id) = oldest.map(|(id, _)| *id) else { return false };
+        events.push(DownstreamEvent::BadRequest(BadRequest::Shed));
+        self.send_error_response(id, 503, "the request did not come whole while others waited", now, events);
+        let response_sent = self.clients.get(&id).is_none_or(|client| client.write_shut_down);
+        if response_sent {
+            self.clients.remove(&id);
+        }
+        response_sent
+    }
+
     /// Closes stalled connections, and reads from clients whose request is in flight. The latter detects a
     /// client that disconnected right after its request: both arrive with one edge-triggered report, and no
     /// other follows.
--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -20,6 +20,9 @@
 /// Time without any input after which a new connection may be closed when file descriptors are scarce. A
 /// client with a request sends it immediately after connecting.
 const NEW_EVICTABLE_AFTER: Micros = 50 * MS;
+/// Age of an incomplete request after which it may be rejected when file descriptors are scarce. A request arrives at
+/// once, or one round trip after its head; only a lost packet takes longer.
+pub(super) const PARTIAL_SHED_AFTER: Micros = 100 * MS;
 /// Time that a new connection is given for its first request while the process shuts down.
 pub(super) const FIRST_REQUEST_TIMEOUT: Micros = 250 * MS;
 /// Time for which input is still read and dropped after the last response on a connection. Closing with
@@ -50,6 +53,8 @@
     pub(super) last_progress: Micros,
     /// Whether no complete request has arrived yet.
     pub(super) is_new: bool,
+    /// Whether the connection waited to be accepted for want of a descriptor. Its client may have given up meanwhile.
+    accepted_late: bool,
     /// Number of bytes dropped after the last response.
     lingered_bytes: usize,
     /// Whether the connection stays open after the current response.
@@ -76,13 +81,14 @@
 
 impl Client {
     /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(connection: Connection, now: Micros) -> Self {
+    pub(super) fn new(connection: Connection, accepted_late: bool, now: Micros) -> Self {
         Client {
             connection,
             reader: RequestReader::new(MAX_BODY_BYTES),
             state: ClientState::Reading,
             last_progress: now,
             is_new: true,
+            accepted_late,
             lingered_bytes: 0,
             keep_alive: true,
             streaming: false,
@@ -125,7 +131,11 @@
 
     fn read(&mut self, output_drained: bool, now: Micros) -> Progress {
         loop {
-            let ended = self.connection.fill();
+            let mut ended = self.connection.fill();
+            if self.is_new && self.accepted_late {
+                // The close of a client that has given up may follow its request.
+                ended |= self.connection.fill();
+            }
             match self.state {
                 ClientState::InFlight(_) | ClientState::RequestRead if ended => {
                     return Progress::Disconnected;
@@ -163,6 +173,8 @@
     /// Reads a request from the input that has arrived. Returns `None` if more bytes are needed.
     fn read_request(&mut self, ended: bool, now: Micros) -> Option<Progress> {
         match self.reader.read(&mut self.connection.input) {
+            // Nobody waits for the response.
+            Ok(Parsed::Complete(_)) if ended => Some(Progress::Disconnected),
             Ok(Parsed::Complete(request)) => {
                 self.connection.turn_quota.record_request();
                 self.state = ClientState::RequestRead;
@@ -221,6 +233,12 @@
         self.write_shut_down || (self.is_idle() && now >= self.last_progress + after)
     }
 
+    /// Returns whether a request has arrived in part and may be rejected when file descriptors are scarce.
+    pub(super) fn is_sheddable(&self, now: Micros) -> bool {
+        let is_partial = self.state == ClientState::Reading && !self.is_idle();
+        is_partial && now >= self.last_progress + PARTIAL_SHED_AFTER
+    }
+
     /// Returns whether the time since the last progress exceeds the limit for the connection's state.
     pub(super) fn has_stalled(&self, now: Micros) -> bool {
         let output_empty = self.connection.output.is_empty();
--- a/crates/proxy/src/downstream/event.rs
+++ b/crates/proxy/src/downstream/event.rs
@@ -15,6 +15,9 @@
     /// The request was not complete within the read timeout.
     #[error("request not complete within the read timeout")]
     TimedOut,
+    /// The request was incomplete when its descriptor was needed for others.
+    #[error("request not complete while descriptors were scarce")]
+    Shed,
     /// The request is valid HTTP but cannot be classified with the settings of this deployment.
     #[error("{0}")]
     Unclassified(ClassifyError),
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -7,8 +7,8 @@
 use calloop::{EventLoop, Readiness};
 use garnetcrank_policy::api::{Micros, RequestId};
 
-use super::client::{FIRST_REQUEST_TIMEOUT, LINGER_TIMEOUT, WRITE_TIMEOUT};
-use super::{Downstream, DownstreamEvent};
+use super::client::{FIRST_REQUEST_TIMEOUT, LINGER_TIMEOUT, PARTIAL_SHED_AFTER, WRITE_TIMEOUT};
+use super::{BadRequest, Downstream, DownstreamEvent};
 use crate::clock::SECOND;
 use crate::readiness::{ConnId, ConnIds, Handle, Source, TurnInputs};
 
@@ -192,3 +192,49 @@
     assert_eq!(fixture.events.len(), 3);
     assert!(!fixture.handle.turn.has_deferred(), "nothing is left to read");
 }
+
+/// Guards against clients with half a request that keep their descriptors while others wait to be accepted.
+#[test]
+fn an_incomplete_request_gives_way_once_it_should_have_arrived() {
+    let mut fixture = Fixture::accepted();
+    fixture.send(&REQUEST[..20]);
+    let due = NOW + PARTIAL_SHED_AFTER;
+    assert!(!fixture.downstream.shed_partial_request(due - 1, &mut fixture.events));
+    // Further bytes do not prolong the time, which begins with the first one.
+    fixture.send(&REQUEST[20..21]);
+    assert!(fixture.downstream.shed_partial_request(due, &mut fixture.events));
+    assert_eq!(fixture.downstream.len(), 0);
+    assert!(matches!(fixture.events[..], [DownstreamEvent::BadRequest(BadRequest::Shed)]));
+    let mut response = String::new();
+    fixture.client.read_to_string(&mut response).expect("complete response without a reset");
+    assert!(response.starts_with("HTTP/1.1 503 ") && response.contains("Connection: close"), "{response}");
+}
+
+#[test]
+fn an_idle_client_and_one_with_a_request_in_flight_are_not_shed() {
+    let mut fixture = Fixture::accepted();
+    let later = NOW + SECOND;
+    assert!(!fixture.downstream.shed_partial_request(later, &mut fixture.events), "silent");
+    fixture.send(REQUEST);
+    let id = fixture.id();
+    assert!(!fixture.downstream.shed_partial_request(later, &mut fixture.events), "request read");
+    assert!(fixture.downstream.mark_in_flight(id, RequestId(1)));
+    assert!(!fixture.downstream.shed_partial_request(later, &mut fixture.events), "in flight");
+    fixture.downstream.send_response(id, 200, std::iter::empty(), b"hi", NOW, &mut fixture.events);
+    assert!(!fixture.downstream.shed_partial_request(later, &mut fixture.events), "idle");
+    assert_eq!(fixture.downstream.len(), 1);
+}
+
+/// Guards against a request that is forwarded although its client gave up while it waited to be accepted.
+#[test]
+fn a_request_whose_client_disconnected_before_a_delayed_accept_is_dropped() {
+    let mut fixture = Fixture::new();
+    fixture.client.write_all(REQUEST.as_bytes()).expect("sends");
+    fixture.client.shutdown(std::net::Shutdown::Both).expect("disconnects");
+    fixture.downstream.accept_delayed = true;
+    while fixture.downstream.accept(&mut fixture.ids, NOW) {}
+    let readiness = Readiness { readable: true, writable: true, error: false };
+    fixture.downstream.on_ready(fixture.id(), readiness, NOW, &mut fixture.events);
+    assert!(fixture.events.is_empty(), "{:?}", fixture.events);
+    assert_eq!(fixture.downstream.len(), 0);
+}
--- a/crates/proxy/src/proxy/accept.rs
+++ b/crates/proxy/src/proxy/accept.rs
@@ -9,7 +9,7 @@
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
 impl Proxy {
-    /// Accepts waiting clients as long as descriptors are available, evicting idle connections to free some.
+    /// Accepts waiting clients as long as descriptors are available, evicting connections to free some.
     pub(super) fn accept_clients(&mut self, now: Micros) {
         // With more than half of the client budget in use, responses close their connections. Otherwise
         // hundreds of clients that send one request and stay connected would fill the rest before any of them
@@ -20,14 +20,15 @@
                 return;
             }
             let has_descriptor = if self.downstream.len() >= self.budgets.clients {
-                self.evict_idle_client(now)
+                self.evict_client(now)
             } else {
                 self.ensure_descriptor(now)
             };
             if !has_descriptor {
                 // Waiting clients are accepted once responses have closed connections or other clients have
-                // been idle long enough.
+                // been idle or sending a request for long enough.
                 self.downstream.descriptors_scarce = true;
+                self.downstream.accept_delayed = true;
                 self.counters.accepts_paused += 1;
                 return;
             }
--- a/crates/proxy/src/proxy/downstream_events.rs
+++ b/crates/proxy/src/proxy/downstream_events.rs
@@ -134,6 +134,7 @@
             }
             BadRequest::Malformed(_) => {}
             BadRequest::TimedOut => self.counters.bad_requests_timed_out += 1,
+            BadRequest::Shed => self.counters.partial_requests_shed += 1,
             BadRequest::Unclassified(_) => self.counters.bad_requests_unclassified += 1,
             BadRequest::DuplicateRequestId => self.counters.bad_requests_duplicate_id += 1,
         }
--- a/crates/proxy/tests/proxy/limits.rs
+++ b/crates/proxy/tests/proxy/limits.rs
@@ -1,6 +1,6 @@
 //! Limits on descriptors and idle connections.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use garnetcrank_test_support::scripted_servers::{
     EndpointBehavior, RunningProxy, ScriptedEndpoint, TestClient, request, wait_until,
@@ -11,6 +11,8 @@
 /// Longer than the 50 ms after which the proxy may evict a silent client, shorter than the 2.5 s after which it
 /// closes one anyway.
 const SILENT_CLIENT_AGE: Duration = Duration::from_millis(200);
+/// Time after which a response to a request of 1 s counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(1_500);
 
 #[test]
 fn without_free_descriptors_requests_are_rejected_until_some_are_free() {
@@ -99,3 +101,26 @@
             .all(|client| client.read().is_some_and(|response| response.status() == 200))
     );
 }
+
+/// Guards against clients that stop in the middle of a request: 60 of them took all places until their requests timed
+/// out after 2.5 s, and usual clients were not accepted before.
+#[test]
+fn clients_with_half_a_request_do_not_keep_others_waiting() {
+    let endpoint = ScriptedEndpoint::start(respond_ok("yes"));
+    let (_discovery, _controller, mut setup) = proxy_setup(&[endpoint.address]);
+    setup.descriptor_limit = 64;
+    let proxy = RunningProxy::start(&setup);
+    let mut stopped_clients: Vec<TestClient> = (0..60).map(|_| proxy.client()).collect();
+    for client in &mut stopped_clients {
+        client.send("GET /look HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: ");
+    }
+    for _ in 0..5 {
+        let sent_at = Instant::now();
+        let response = proxy.client().exchange(&request("GET", "/look", 1000, ""));
+        assert_eq!(response.expect("the proxy responds").status(), 200);
+        assert!(sent_at.elapsed() < LOST_AFTER, "answered after {:?}", sent_at.elapsed());
+    }
+    for client in &mut stopped_clients {
+        assert!(client.read().is_some_and(|response| [503, 408].contains(&response.status())));
+    }
+}
