Buffers and messages count against the memory limit from their first byte

Cause: the budget for bodies was checked when a request was complete. What the reader held before counted nowhere, nor did heads, buffers, responses on their way and requests that were read and not admitted yet.

Change: rings, readers, requests and responses carry a charge at one gauge of the process until they are dropped, wherever they go. They may take a quarter of the memory limit. Beyond it, after each step that may add to it, the largest incomplete request gets a 503 (4 KiB at the least, so no usual client), or else the connection that holds most is closed. So the limit can be passed by one connection's quota of a turn at the most. The charge is subtracted on drop, so no path can forget it. Requests in flight take an eighth as before, now with their heads. A client's next request is read once its last response has been sent. New counter peak_buffer_bytes.

A dispatcher test expected in_flight_bytes of 2, the body; it now expects exactly the message's own charge, which must exceed the head and the body.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -18,6 +18,7 @@
 }
 
 /// A parsed head.
+#[derive(Debug)]
 pub(crate) struct ParsedHead<T> {
     /// Size of the head, in bytes.
     pub(crate) len: usize,
@@ -37,10 +38,7 @@
 pub(crate) fn take_head<T>(
     ring: &mut Ring,
     parse: impl FnOnce(&[u8]) -> Result<Option<ParsedHead<T>>, MessageError>,
-) -> Result<Option<T>, MessageError> {
-    if ring.is_empty() {
-        return Ok(None);
-    }
+) -> Result<Option<ParsedHead<T>>, MessageError> {
     let bytes = ring.contiguous();
     let head_bytes = &bytes[..bytes.len().min(MAX_HEAD_BYTES)];
     match parse(head_bytes)? {
@@ -48,7 +46,7 @@
         None => Ok(None),
         Some(head) => {
             ring.consume(head.len);
-            Ok(Some(head.content))
+            Ok(Some(head))
         }
     }
 }
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -26,6 +26,11 @@
         Headers(lines.iter().map(|line| (line.name.to_owned(), line.value.to_vec())).collect())
     }
 
+    /// Returns the memory that the list of lines takes beside their bytes.
+    pub(crate) fn list_bytes(&self) -> usize {
+        self.0.capacity() * size_of::<(String, Vec<u8>)>()
+    }
+
     /// Iterates over all header lines.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.0.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -4,10 +4,11 @@
 use crate::error::MessageError;
 use crate::head::{MAX_HEADERS, Parsed, ParsedHead, head_error, take_head};
 use crate::headers::Headers;
+use crate::memory::MemoryCharge;
 use crate::ring::Ring;
 
 /// A complete request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub struct Request {
     /// Method, as received.
     pub method: String,
@@ -19,6 +20,8 @@
     pub body: Vec<u8>,
     /// Whether the client keeps the connection open after the response.
     pub keep_alive: bool,
+    /// Charge for the memory of the request.
+    pub memory: MemoryCharge,
 }
 
 /// A request whose head is complete.
@@ -26,6 +29,8 @@
 struct PartialRequest {
     request: Request,
     framing: Framing,
+    /// Memory of the request without its body, in bytes.
+    head_bytes: usize,
 }
 
 /// Reads consecutive requests from the input buffer of a connection.
@@ -48,6 +53,17 @@
         self.partial.is_some()
     }
 
+    /// Returns the memory that the part of a request takes that has been read, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.partial.as_ref().map_or(0, |partial| partial.request.memory.bytes())
+    }
+
+    /// Drops the part of a request that has been read.
+    pub fn reset(&mut self) {
+        self.partial = None;
+        self.wants_continue = false;
+    }
+
     /// Returns whether an interim response (`100 Continue`) is due, and resets this.
     pub fn take_continue(&mut self) -> bool {
         std::mem::take(&mut self.wants_continue)
@@ -62,11 +78,12 @@
             let Some(head) = request_head(ring)? else { return Ok(Parsed::Incomplete) };
             self.begin(head, ring)?;
         }
-        let Some(PartialRequest { request, framing }) = &mut self.partial else {
+        let Some(PartialRequest { request, framing, head_bytes }) = &mut self.partial else {
             return Ok(Parsed::Incomplete);
         };
         // Reading one byte more than allowed distinguishes a body at the limit from one beyond it.
         let is_complete = framing.read(ring, &mut request.body, self.max_body_bytes + 1)?;
+        request.memory.set(*head_bytes + request.body.capacity());
         if request.body.len() > self.max_body_bytes {
             return Err(MessageError::BodyTooLarge);
         }
@@ -77,18 +94,24 @@
         Ok(self.partial.take().map_or(Parsed::Incomplete, |partial| Parsed::Complete(partial.request)))
     }
 
-    fn begin(&mut self, request: Request, ring: &Ring) -> Result<(), MessageError> {
+    fn begin(&mut self, head: ParsedHead<Request>, ring: &Ring) -> Result<(), MessageError> {
+        let request = head.content;
         let framing = Framing::from_headers(&request.headers)?.unwrap_or(Framing::Ended);
         if matches!(framing, Framing::Length(length) if length > self.max_body_bytes) {
             return Err(MessageError::BodyTooLarge);
         }
         self.wants_continue = request.headers.contains_token("expect", "100-continue") && ring.is_empty();
-        self.partial = Some(PartialRequest { request, framing });
+        let head_bytes = head.len + request.headers.list_bytes();
+        self.partial = Some(PartialRequest { request, framing, head_bytes });
         Ok(())
     }
 }
 
-fn request_head(ring: &mut Ring) -> Result<Option<Request>, MessageError> {
+fn request_head(ring: &mut Ring) -> Result<Option<ParsedHead<Request>>, MessageError> {
+    if ring.is_empty() {
+        return Ok(None);
+    }
+    let memory = ring.new_charge();
     take_head(ring, |bytes| {
         let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Request::new(&mut lines);
@@ -108,6 +131,7 @@
             keep_alive: !headers.contains_token("connection", "close"),
             headers,
             body: Vec::new(),
+            memory,
         };
         Ok(Some(ParsedHead { len, content }))
     })
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -4,6 +4,7 @@
 use crate::error::MessageError;
 use crate::head::{MAX_HEADERS, Parsed, ParsedHead, head_error, take_head};
 use crate::headers::Headers;
+use crate::memory::MemoryCharge;
 use crate::ring::Ring;
 
 /// Maximum number of interim responses before the final one. A peer that sends more is assumed to never send
@@ -11,7 +12,7 @@
 const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// A response, complete or as far as it has been read.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub struct Response {
     /// Status code.
     pub status: u16,
@@ -21,6 +22,8 @@
     pub body: Vec<u8>,
     /// Whether the connection can be used for another request.
     pub keep_alive: bool,
+    /// Charge for the memory of the response.
+    pub memory: MemoryCharge,
 }
 
 /// A response whose head is complete.
@@ -28,6 +31,14 @@
 struct PartialResponse {
     response: Response,
     framing: Framing,
+    /// Memory of the response without its body, in bytes.
+    head_bytes: usize,
+}
+
+impl PartialResponse {
+    fn update_charge(&mut self) {
+        self.response.memory.set(self.head_bytes + self.response.body.capacity());
+    }
 }
 
 /// Handling of the body while it is read.
@@ -70,12 +81,17 @@
         self.partial.as_ref().map(|partial| &partial.response)
     }
 
-    /// Takes the part of the body that has been read and not been taken yet.
+    /// Returns the memory that the response takes as far as it has been read, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.partial.as_ref().map_or(0, |partial| partial.response.memory.bytes())
+    }
+
+    /// Takes the part of the body that has been read and not been taken yet. It is no longer counted.
     pub fn take_body(&mut self) -> Vec<u8> {
-        match &mut self.partial {
-            Some(partial) => std::mem::take(&mut partial.response.body),
-            None => Vec::new(),
-        }
+        let Some(partial) = &mut self.partial else { return Vec::new() };
+        let body = std::mem::take(&mut partial.response.body);
+        partial.update_charge();
+        body
     }
 
     /// Reads the response, as far as the ring holds it. `ended` tells that no more input will arrive.
@@ -86,18 +102,19 @@
         if self.partial.is_none() {
             self.partial = self.read_head(ring)?;
         }
-        let Some(PartialResponse { response, framing }) = &mut self.partial else {
+        let Some(partial) = &mut self.partial else {
             return if ended { Err(MessageError::Truncated) } else { Ok(Parsed::Incomplete) };
         };
         let is_buffered = self.mode == BodyMode::Buffered;
         // Reading one byte more than allowed distinguishes a body at the limit from one beyond it.
         let read_limit = self.max_body_bytes + usize::from(is_buffered);
-        let mut is_complete = framing.read(ring, &mut response.body, read_limit)?;
-        if is_buffered && response.body.len() > self.max_body_bytes {
+        let mut is_complete = partial.framing.read(ring, &mut partial.response.body, read_limit)?;
+        partial.update_charge();
+        if is_buffered && partial.response.body.len() > self.max_body_bytes {
             return Err(MessageError::BodyTooLarge);
         }
         if ended && ring.is_empty() && !is_complete {
-            if *framing != Framing::UntilClose {
+            if partial.framing != Framing::UntilClose {
                 return Err(MessageError::Truncated);
             }
             is_complete = true;
@@ -111,10 +128,10 @@
     /// Reads the head of the final response, and skips interim responses before it.
     fn read_head(&mut self, ring: &mut Ring) -> Result<Option<PartialResponse>, MessageError> {
         while let Some(head) = response_head(ring)? {
-            if head.status == 101 {
+            if head.content.status == 101 {
                 return Err(MessageError::Unsupported("a change of protocol"));
             }
-            if head.status >= 200 {
+            if head.content.status >= 200 {
                 return self.begin(head).map(Some);
             }
             self.interim_responses += 1;
@@ -125,7 +142,9 @@
         Ok(None)
     }
 
-    fn begin(&self, head: Response) -> Result<PartialResponse, MessageError> {
+    fn begin(&self, head: ParsedHead<Response>) -> Result<PartialResponse, MessageError> {
+        let head_bytes = head.len + head.content.headers.list_bytes();
+        let head = head.content;
         let framing = match head.status {
             204 | 304 => Framing::Ended,
             _ => Framing::from_headers(&head.headers)?.unwrap_or(Framing::UntilClose),
@@ -139,11 +158,15 @@
             return Err(MessageError::Malformed("an answer that does not say how long it is"));
         }
         let keep_alive = head.keep_alive && !until_close;
-        Ok(PartialResponse { response: Response { keep_alive, ..head }, framing })
+        Ok(PartialResponse { response: Response { keep_alive, ..head }, framing, head_bytes })
     }
 }
 
-fn response_head(ring: &mut Ring) -> Result<Option<Response>, MessageError> {
+fn response_head(ring: &mut Ring) -> Result<Option<ParsedHead<Response>>, MessageError> {
+    if ring.is_empty() {
+        return Ok(None);
+    }
+    let memory = ring.new_charge();
     take_head(ring, |bytes| {
         let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut lines);
@@ -156,6 +179,7 @@
             keep_alive: head.version == Some(1) && !headers.contains_token("connection", "close"),
             headers,
             body: Vec::new(),
+            memory,
         };
         Ok(Some(ParsedHead { len, content }))
     })
--- a/crates/http/src/ring.rs
+++ b/crates/http/src/ring.rs
@@ -7,6 +7,8 @@
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 
+use crate::memory::{MemoryCharge, MemoryGauge};
+
 /// Maximum number of bytes of one read. Larger reads have no benefit for messages of some kilobytes.
 const MAX_READ_BYTES: usize = 16 * 1024;
 /// Capacity above which an empty ring releases its memory, in bytes.
@@ -27,12 +29,25 @@
 pub struct Ring {
     bytes: VecDeque<u8>,
     max_bytes: usize,
+    /// Charge for the allocated memory.
+    memory: MemoryCharge,
 }
 
 impl Ring {
-    /// Creates an empty ring for up to `max_bytes`.
+    /// Creates an empty ring for up to `max_bytes`, which is counted by a gauge of its own.
     pub fn new(max_bytes: usize) -> Self {
-        Ring { bytes: VecDeque::new(), max_bytes }
+        Ring::counted(max_bytes, &MemoryGauge::default())
+    }
+
+    /// Creates an empty ring for up to `max_bytes`. Its memory is counted by `gauge`, and so is that of the messages
+    /// that are read from it.
+    pub fn counted(max_bytes: usize, gauge: &MemoryGauge) -> Self {
+        Ring { bytes: VecDeque::new(), max_bytes, memory: MemoryCharge::new(gauge) }
+    }
+
+    /// Returns a charge of no bytes at the gauge of the ring.
+    pub(crate) fn new_charge(&self) -> MemoryCharge {
+        MemoryCharge::new(self.memory.gauge())
     }
 
     /// Returns the number of bytes in the ring.
@@ -64,6 +79,7 @@
             return Err(RingFull);
         }
         self.bytes.extend(bytes);
+        self.update_charge();
         Ok(())
     }
 
@@ -78,6 +94,7 @@
         READ_BUFFER.with_borrow_mut(|buffer| {
             let read = from.read(&mut buffer[..max])?;
             self.bytes.extend(&buffer[..read]);
+            self.update_charge();
             Ok(read)
         })
     }
@@ -100,11 +117,23 @@
     /// Removes up to `count` bytes from the front.
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count.min(self.bytes.len()));
-        if self.bytes.is_empty() && self.bytes.capacity() > MAX_EMPTY_CAPACITY {
+        if self.bytes.capacity() > MAX_EMPTY_CAPACITY {
+            self.release_if_empty();
+        }
+    }
+
+    /// Releases the memory of a ring that is empty.
+    pub fn release_if_empty(&mut self) {
+        if self.bytes.is_empty() {
             self.bytes = VecDeque::new();
+            self.update_charge();
         }
     }
 
+    fn update_charge(&mut self) {
+        self.memory.set(self.bytes.capacity());
+    }
+
     /// Moves up to `count` bytes from the front to the end of `to`. Returns the number of moved bytes.
     pub fn take(&mut self, count: usize, to: &mut Vec<u8>) -> usize {
         let count = count.min(self.bytes.len());
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -63,8 +63,8 @@
             handle: handle.clone(),
             token,
             turn_quota: TurnQuota::new(Rc::clone(&handle.turn), source),
-            input: Ring::new(input_bytes),
-            output: Ring::new(output_bytes),
+            input: Ring::counted(input_bytes, &handle.memory),
+            output: Ring::counted(output_bytes, &handle.memory),
             readable: false,
             read_closed: false,
         })
@@ -188,6 +188,17 @@
         nothing_unread && !self.read_closed && self.input.is_empty()
     }
 
+    /// Returns the memory of both buffers, in bytes.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Releases the memory of the buffers that are empty.
+    pub(crate) fn release_empty_buffers(&mut self) {
+        self.input.release_if_empty();
+        self.output.release_if_empty();
+    }
+
     /// Shuts down the sending direction.
     pub(crate) fn shutdown_write(&self) {
         // Errors are ignored: the shutdown only fails if the connection is already lost.
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -21,10 +21,12 @@
             pub(crate) fn add(&mut self, other: &Counters) {
                 let longest_turn_us = self.longest_turn_us.max(other.longest_turn_us);
                 let peak_in_flight = self.peak_in_flight.max(other.peak_in_flight);
+                let peak_buffer_bytes = self.peak_buffer_bytes.max(other.peak_buffer_bytes);
                 $(self.$name += other.$name;)*
                 // Process-wide maxima: the larger value counts, not the sum.
                 self.longest_turn_us = longest_turn_us;
                 self.peak_in_flight = peak_in_flight;
+                self.peak_buffer_bytes = peak_buffer_bytes;
             }
         }
 
@@ -66,7 +68,7 @@
     bad_requests_duplicate_id: "bad_name_taken",
     /// Client connections closed because nothing arrived on them.
     idle_clients_closed: "idle_clients_closed",
-    /// Client connections closed before their idle timeout because their descriptors were needed.
+    /// Client connections closed before their timeout because their descriptors or memory were needed.
     clients_evicted: "clients_made_way",
     /// Clients that disconnected before they got their response.
     clients_disconnected: "left",
@@ -128,8 +130,10 @@
     peak_upstream_connections: "peak_machine_conns",
     /// Most requests in flight at once, on all workers together.
     peak_in_flight: "peak_held",
-    /// Bad requests that were rejected while incomplete, since their descriptors were needed.
+    /// Bad requests that were rejected while incomplete, since their descriptors or memory were needed.
     partial_requests_shed: "bad_shed",
+    /// Most bytes in buffers and messages at once, on all workers together.
+    peak_buffer_bytes: "peak_buffer_bytes",
     /// Connections left to the next turn, since they had done what they may do in one.
     connection_deferrals: "deferred",
 }
--- a/crates/proxy/src/discovery/tests.rs
+++ b/crates/proxy/src/discovery/tests.rs
@@ -180,7 +180,14 @@
     let poll_response = |revision| {
         let body = list(revision, true, &[member("s-1", 9001, 41, "Ready")]).into_bytes();
         let headers = garnetcrank_http::Headers::default();
-        CallOutcome::Response(garnetcrank_http::Response { status: 200, headers, body, keep_alive: false })
+        let memory = garnetcrank_http::MemoryCharge::default();
+        CallOutcome::Response(garnetcrank_http::Response {
+            status: 200,
+            headers,
+            body,
+            keep_alive: false,
+            memory,
+        })
     };
     let older = discovery.on_poll_ended(poll_response(7));
     assert!(matches!(&older.endpoint_updates[..], [EndpointUpdate::Delta(e)] if e.is_empty()), "{older:?}");
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -67,9 +67,9 @@
         self.in_flight.len_on(worker)
     }
 
-    /// Returns the total body size, in bytes, of the requests that await their response, on all workers.
+    /// Returns the total size, in bytes, of the requests that await their response, on all workers.
     pub(crate) fn in_flight_bytes(&self) -> usize {
-        self.in_flight.body_bytes()
+        self.in_flight.memory_bytes()
     }
 
     /// Returns whether an open request has the same `Request-Id`: a request of another client, or the same
--- a/crates/proxy/src/dispatcher/in_flight.rs
+++ b/crates/proxy/src/dispatcher/in_flight.rs
@@ -55,7 +55,7 @@
     expirations: BTreeSet<Expiration>,
     awaiting_count: usize,
     awaiting_count_by_worker: Vec<usize>,
-    body_bytes: usize,
+    memory_bytes: usize,
     next_number: u32,
 }
 
@@ -68,7 +68,7 @@
             expirations: BTreeSet::new(),
             awaiting_count: 0,
             awaiting_count_by_worker: vec![0; worker_count],
-            body_bytes: 0,
+            memory_bytes: 0,
             next_number: 0,
         }
     }
@@ -84,8 +84,8 @@
     }
 
     /// Returns the total body size, in bytes, of the requests that await their response.
-    pub(super) fn body_bytes(&self) -> usize {
-        self.body_bytes
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.memory_bytes
     }
 
     /// Returns whether a request with the same `Request-Id` awaits its response.
@@ -119,7 +119,7 @@
         let id = self.allocate_id(client.worker());
         self.awaiting_count += 1;
         self.awaiting_count_by_worker[client.worker().0] += 1;
-        self.body_bytes += message.body.len();
+        self.memory_bytes += message.memory.bytes();
         self.open_request_ids.insert(request_id_header(&message).to_vec());
         self.expirations.insert(Expiration::new(id, deadline));
         let request = InFlightRequest {
@@ -160,7 +160,7 @@
         request.awaiting_response = false;
         self.awaiting_count -= 1;
         self.awaiting_count_by_worker[request.client.worker().0] -= 1;
-        self.body_bytes -= request.message.body.len();
+        self.memory_bytes -= request.message.memory.bytes();
         self.open_request_ids.remove(request_id_header(&request.message));
         self.expirations.remove(&Expiration::new(id, request.deadline));
         Some(request.client)
--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -56,7 +56,9 @@
     let mut dispatcher = dispatcher_with_one_endpoint();
     for _ in 0..100 {
         let id = receive_request(&mut dispatcher, "/look");
-        assert_eq!((dispatcher.in_flight_count(), dispatcher.in_flight_bytes()), (1, 2));
+        let message_bytes = dispatcher.get(id).expect("in flight").message.memory.bytes();
+        assert!(message_bytes > "POST /look HTTP/1.1\r\n\r\nhi".len(), "the head counts, too");
+        assert_eq!((dispatcher.in_flight_count(), dispatcher.in_flight_bytes()), (1, message_bytes));
         dispatcher.on_disconnect(id);
         let commands = handle_all_events(&mut dispatcher);
         let only_cancelled = commands.iter().all(|c| matches!(c, Command::Cancel { .. }));
--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -340,15 +340,61 @@
     /// is answered by a reset, which comes after the response.
     pub(crate) fn shed_partial_request(&mut self, now: Micros, events: &mut Vec<DownstreamEvent>) -> bool {
         let sheddable = self.clients.iter().filter(|(_, client)| client.is_sheddable(now));
-        let oldest = sheddable.min_by_key(|(id, client)| (client.last_progress, **id));
-        let Some(id) = oldest.map(|(id, _)| *id) else { return false };
+        let mut oldest_first: Vec<_> = sheddable.map(|(id, client)| (client.last_progress, *id)).collect();
+        oldest_first.sort_unstable();
+        for (_, id) in oldest_first {
+            self.reject_partial_request(id, now, events);
+            // A client that has not read its earlier responses keeps its connection until it does.
+            let response_sent = self.clients.get(&id).is_none_or(|client| client.write_shut_down);
+            if response_sent {
+                self.clients.remove(&id);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Rejects the incomplete request that takes the most memory, at least `min_bytes`, and releases it. Returns false if
+    /// there is none.
+    pub(crate) fn shed_largest_partial_request(
+        &mut self,
+        min_bytes: usize,
+        now: Micros,
+        events: &mut Vec<DownstreamEvent>,
+    ) -> bool {
+        let partial = self.clients.iter().filter(|(_, client)| client.has_partial_request());
+        let sizes = partial.map(|(id, client)| (client.memory_bytes(), *id));
+        let Some((bytes, id)) = sizes.max() else { return false };
+        if bytes < min_bytes {
+            return false;
+        }
+        self.reject_partial_request(id, now, events);
+        true
+    }
+
+    fn reject_partial_request(&mut self, id: ConnId, now: Micros, events: &mut Vec<DownstreamEvent>) {
         events.push(DownstreamEvent::BadRequest(BadRequest::Shed));
         self.send_error_response(id, 503, "the request did not come whole while others waited", now, events);
-        let response_sent = self.clients.get(&id).is_none_or(|client| client.write_shut_down);
-        if response_sent {
-            self.clients.remove(&id);
+    }
+
+    /// Returns the memory of the connection that takes the most, in bytes.
+    pub(crate) fn largest_bytes(&self) -> usize {
+        self.clients.values().map(Client::memory_bytes).max().unwrap_or(0)
+    }
+
+    /// Closes the connection that takes the most memory.
+    pub(crate) fn close_largest(&mut self, events: &mut Vec<DownstreamEvent>) {
+        let sizes = self.clients.iter().map(|(id, client)| (client.memory_bytes(), *id));
+        if let Some((_, id)) = sizes.max() {
+            self.disconnect(id, events);
+        }
+    }
+
+    /// Releases the memory of all buffers that are empty.
+    pub(crate) fn release_empty_buffers(&mut self) {
+        for client in self.clients.values_mut() {
+            client.connection.release_empty_buffers();
         }
-        response_sent
     }
 
     /// Closes stalled connections, and reads from clients whose request is in flight. The latter detects a
--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -130,6 +130,11 @@
     }
 
     fn read(&mut self, output_drained: bool, now: Micros) -> Progress {
+        if self.state == ClientState::Reading && !self.connection.output.is_empty() {
+            // A client that does not read its response has to wait with its next request, so that it makes the proxy
+            // hold one response at a time.
+            return Progress::Waiting;
+        }
         loop {
             let mut ended = self.connection.fill();
             if self.is_new && self.accepted_late {
@@ -213,6 +218,9 @@
     pub(super) fn on_response_written(&mut self, now: Micros) {
         self.last_progress = now;
         self.state = if self.keep_alive { ClientState::Reading } else { ClientState::Closing };
+        if self.state == ClientState::Closing {
+            self.reader.reset();
+        }
     }
 
     /// Returns whether the connection is between requests and both buffers are empty.
@@ -233,10 +241,19 @@
         self.write_shut_down || (self.is_idle() && now >= self.last_progress + after)
     }
 
+    /// Returns whether a request has arrived in part.
+    pub(super) fn has_partial_request(&self) -> bool {
+        self.state == ClientState::Reading && (self.reader.is_partial() || !self.connection.input.is_empty())
+    }
+
+    /// Returns the memory that the connection takes, in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.connection.buffer_bytes() + self.reader.memory_bytes()
+    }
+
     /// Returns whether a request has arrived in part and may be rejected when file descriptors are scarce.
     pub(super) fn is_sheddable(&self, now: Micros) -> bool {
-        let is_partial = self.state == ClientState::Reading && !self.is_idle();
-        is_partial && now >= self.last_progress + PARTIAL_SHED_AFTER
+        self.has_partial_request() && now >= self.last_progress + PARTIAL_SHED_AFTER
     }
 
     /// Returns whether the time since the last progress exceeds the limit for the connection's state.
--- a/crates/proxy/src/downstream/event.rs
+++ b/crates/proxy/src/downstream/event.rs
@@ -15,8 +15,8 @@
     /// The request was not complete within the read timeout.
     #[error("request not complete within the read timeout")]
     TimedOut,
-    /// The request was incomplete when its descriptor was needed for others.
-    #[error("request not complete while descriptors were scarce")]
+    /// The request was incomplete when its descriptor or its memory was needed for others.
+    #[error("request not complete while descriptors or memory were scarce")]
     Shed,
     /// The request is valid HTTP but cannot be classified with the settings of this deployment.
     #[error("{0}")]
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -238,3 +238,46 @@
     assert!(fixture.events.is_empty(), "{:?}", fixture.events);
     assert_eq!(fixture.downstream.len(), 0);
 }
+
+/// Guards against what is held for an incomplete request counting nowhere before the request is complete.
+#[test]
+fn an_incomplete_request_counts_from_its_first_byte_and_is_released_when_shed() {
+    let mut fixture = Fixture::accepted();
+    fixture.send(&format!(
+        "POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n{}",
+        "x".repeat(9_000)
+    ));
+    let held = fixture.handle.memory.bytes();
+    assert!(held >= 9_000, "{held}");
+    assert!(!fixture.downstream.shed_largest_partial_request(held + 1, NOW, &mut fixture.events));
+    assert!(fixture.downstream.shed_largest_partial_request(9_000, NOW, &mut fixture.events));
+    assert!(matches!(fixture.events[..], [DownstreamEvent::BadRequest(BadRequest::Shed)]));
+    fixture.downstream.release_empty_buffers();
+    assert_eq!(fixture.handle.memory.bytes(), 0);
+    let mut response = String::new();
+    fixture.client.read_to_string(&mut response).expect("complete response without a reset");
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
+
+#[test]
+fn a_client_that_does_not_read_its_response_waits_with_its_next_request() {
+    let mut fixture = Fixture::accepted();
+    fixture.send(&REQUEST.repeat(2));
+    let (id, body) = (fixture.id(), vec![b'x'; 60 * 1024]);
+    let mut answered = 0;
+    // The system's buffers take some responses.
+    while fixture.downstream.clients[&id].connection.output.is_empty() {
+        fixture.downstream.send_response(id, 200, std::iter::empty(), &body, NOW, &mut fixture.events);
+        answered += 1;
+    }
+    let read_before = fixture.events.len();
+    fixture.next_turn();
+    assert_eq!(fixture.events.len(), read_before, "a request was read behind an unread response");
+    fixture.downstream.close_largest(&mut fixture.events);
+    fixture.events.clear();
+    assert_eq!(
+        (fixture.downstream.len(), fixture.handle.memory.bytes()),
+        (0, 0),
+        "after {answered} responses"
+    );
+}
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -63,6 +63,11 @@
         self.stage != ExchangeStage::Connecting
     }
 
+    /// Returns the memory that the response takes as far as it has been read, in bytes.
+    pub(crate) fn response_bytes(&self) -> usize {
+        self.reader.memory_bytes()
+    }
+
     /// Returns the reader of the response.
     pub(crate) fn reader(&mut self) -> &mut ResponseReader {
         &mut self.reader
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -8,6 +8,7 @@
 mod control_plane;
 mod downstream_events;
 mod eviction;
+mod memory;
 mod reload;
 mod startup;
 mod statistics;
@@ -171,6 +172,7 @@
             }
             Source::Listener => self.downstream.accept_pending = true,
         }
+        self.enforce_memory_budget(now);
     }
 
     fn process_timers(&mut self, now: Micros) {
@@ -187,9 +189,7 @@
         loop {
             let now = self.clock.now();
             self.process_upstream_events(now);
-            for event in std::mem::take(&mut self.downstream_events) {
-                self.on_downstream_event(event, now);
-            }
+            self.process_downstream_events(now);
             for command in std::mem::take(&mut self.commands) {
                 self.dispatch_command(command, now);
             }
--- a/crates/proxy/src/proxy/budgets.rs
+++ b/crates/proxy/src/proxy/budgets.rs
@@ -19,8 +19,11 @@
 /// rejected, so that no client waits without a response. A connection is never closed before its response,
 /// since a request may be in transit on it.
 const OVERFLOW_CLIENTS_DIVISOR: usize = 32;
-/// Bodies of requests in flight may take one part in this many of the memory limit.
-const BODY_MEMORY_DIVISOR: u64 = 8;
+/// Requests in flight may take one part in this many of the memory limit.
+const IN_FLIGHT_MEMORY_DIVISOR: u64 = 8;
+/// Buffers and messages, those of requests in flight included, may take one part in this many of the memory limit. The
+/// rest is for the program itself, its other state, and memory that is free but not returned to the system.
+const BUFFER_MEMORY_DIVISOR: u64 = 4;
 /// Bytes per MiB.
 const MIB: u64 = 1024 * 1024;
 
@@ -33,8 +36,10 @@
     pub(super) clients: usize,
     /// Maximum number of requests in flight. A limit in the settings applies to each worker.
     pub(super) in_flight_requests: usize,
-    /// Maximum total size of the bodies of requests in flight, in bytes, on all workers together.
-    pub(super) body_bytes: usize,
+    /// Maximum total size of the requests in flight, in bytes, on all workers together.
+    pub(super) in_flight_bytes: usize,
+    /// Maximum total size of all buffers and messages, in bytes, on all workers together.
+    pub(super) buffer_bytes: usize,
 }
 
 impl Budgets {
@@ -62,11 +67,17 @@
             // The other half is freed on demand by evicting clients without a request.
             clients: descriptors - in_flight_requests / 2,
             in_flight_requests,
-            body_bytes: usize::try_from(process.memory_mb * MIB / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX),
+            in_flight_bytes: memory_share(process.memory_mb, IN_FLIGHT_MEMORY_DIVISOR),
+            buffer_bytes: memory_share(process.memory_mb, BUFFER_MEMORY_DIVISOR),
         }
     }
 }
 
+/// Returns one part in `divisor` of the memory limit, in bytes.
+fn memory_share(memory_mb: u64, divisor: u64) -> usize {
+    usize::try_from(memory_mb.saturating_mul(MIB) / divisor).unwrap_or(usize::MAX)
+}
+
 /// Returns the configured limit on descriptors, or the system's limit if that is lower.
 pub(super) fn max_descriptors(configured: usize) -> usize {
     let system_limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
--- a/crates/proxy/src/proxy/commands.rs
+++ b/crates/proxy/src/proxy/commands.rs
@@ -98,6 +98,7 @@
             }
             Command::Log(line) => info!("{line}"),
         }
+        self.enforce_memory_budget(now);
     }
 
     fn forward_response(&mut self, client: ConnId, response: &Response, now: Micros) {
--- a/crates/proxy/src/proxy/downstream_events.rs
+++ b/crates/proxy/src/proxy/downstream_events.rs
@@ -22,13 +22,19 @@
     Accepted(RequestId),
     /// Another open request has the same `Request-Id`.
     DuplicateRequestId,
-    /// Too many requests are in flight, or their bodies take too much memory.
+    /// Too many requests are in flight, or they take too much memory.
     OverLimit,
 }
 
 impl Proxy {
-    /// Processes one event of a client connection.
-    pub(super) fn on_downstream_event(&mut self, event: DownstreamEvent, now: Micros) {
+    /// Processes all queued events.
+    pub(super) fn process_downstream_events(&mut self, now: Micros) {
+        for event in std::mem::take(&mut self.downstream_events) {
+            self.on_downstream_event(event, now);
+        }
+    }
+
+    fn on_downstream_event(&mut self, event: DownstreamEvent, now: Micros) {
         match event {
             DownstreamEvent::Request(client, message) => self.on_request(client, message, now),
             DownstreamEvent::BadRequest(bad_request) => self.on_bad_request(bad_request, now),
@@ -96,9 +102,9 @@
         if dispatcher.is_duplicate(&message) {
             return Admission::DuplicateRequestId;
         }
-        let body_bytes = dispatcher.in_flight_bytes() + message.body.len();
+        let in_flight_bytes = dispatcher.in_flight_bytes() + message.memory.bytes();
         let too_many_requests = dispatcher.in_flight_count_on(self.worker) >= self.budgets.in_flight_requests;
-        if too_many_requests || body_bytes > self.budgets.body_bytes {
+        if too_many_requests || in_flight_bytes > self.budgets.in_flight_bytes {
             return Admission::OverLimit;
         }
         self.counters.requests += 1;
--- /dev/null
+++ b/crates/proxy/src/proxy/memory.rs
@@ -0,0 +1,51 @@
+//! Keeps the memory of buffers and messages within its budget. What a peer makes the proxy hold counts from its first
+//! byte, and whoever holds most gives way first.
+
+use garnetcrank_policy::api::Micros;
+
+use super::Proxy;
+
+/// Connections that hold less are not closed for their memory. Those of usual clients hold less.
+const MIN_SHED_BYTES: usize = 4 * 1024;
+
+impl Proxy {
+    /// Frees memory if buffers and messages take more than their budget. It is called after each step that may add to
+    /// them, so that they exceed the budget by no more than one connection reads in a turn.
+    pub(super) fn enforce_memory_budget(&mut self, now: Micros) {
+        if !self.is_over_memory_budget() {
+            return;
+        }
+        // Requests that have been read are admitted or rejected first, and connections between requests need no buffers.
+        self.process_downstream_events(now);
+        self.downstream.release_empty_buffers();
+        self.upstream.release_empty_buffers();
+        while self.is_over_memory_budget() && self.shed_largest(now) {}
+    }
+
+    fn is_over_memory_budget(&mut self) -> bool {
+        let held = self.handle.memory.bytes();
+        self.counters.peak_buffer_bytes = self.counters.peak_buffer_bytes.max(held as u64);
+        held > self.budgets.buffer_bytes
+    }
+
+    /// Rejects the largest incomplete request, for which nothing has been done yet. If there is none, closes the
+    /// connection to a client or an endpoint that holds most. Returns false if none holds [`MIN_SHED_BYTES`].
+    fn shed_largest(&mut self, now: Micros) -> bool {
+        let events = &mut self.downstream_events;
+        if self.downstream.shed_largest_partial_request(MIN_SHED_BYTES, now, events) {
+            return true;
+        }
+        let client_bytes = self.downstream.largest_bytes();
+        let upstream_bytes = self.upstream.largest_bytes();
+        if client_bytes.max(upstream_bytes) < MIN_SHED_BYTES {
+            return false;
+        }
+        if client_bytes >= upstream_bytes {
+            self.counters.clients_evicted += 1;
+            self.downstream.close_largest(events);
+        } else {
+            self.upstream.end_largest_exchange(now, &mut self.upstream_events);
+        }
+        true
+    }
+}
--- a/crates/proxy/src/proxy/startup.rs
+++ b/crates/proxy/src/proxy/startup.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use calloop::ping::PingSource;
+use garnetcrank_http::MemoryGauge;
 use garnetcrank_policy::api::{Event, Micros};
 use garnetcrank_settings::Settings;
 use tracing::info;
@@ -30,6 +31,8 @@
     parts: WorkerParts,
     listener: TcpListener,
     wake_source: PingSource,
+    /// Gauge that all workers share.
+    memory: MemoryGauge,
 }
 
 /// Components of a worker, without its event loop and its listener.
@@ -79,6 +82,7 @@
                 parts: parts(worker),
                 listener: downstream.listener()?,
                 wake_source,
+                memory: handle.memory.clone(),
             });
         }
         let mut proxy = Proxy::from_parts(parts(WorkerId::FIRST), handle, downstream);
@@ -93,6 +97,7 @@
     /// # Errors
     /// The listening socket or the wake-up source can't be registered with the event loop.
     pub(crate) fn start_worker(handle: Handle, init: WorkerInit) -> io::Result<Self> {
+        let handle = Handle { memory: init.memory, ..handle };
         register_wake_source(&handle, init.wake_source)?;
         let downstream = Downstream::with_listener(&handle, init.listener)?;
         let now = init.parts.clock.now();
--- a/crates/proxy/src/proxy/sweep.rs
+++ b/crates/proxy/src/proxy/sweep.rs
@@ -65,6 +65,7 @@
         self.tick_control_plane(now);
         self.upstream.on_tick(now);
         self.downstream.on_tick(now, &mut self.downstream_events);
+        self.enforce_memory_budget(now);
         self.advance_lifecycle(now);
         self.apply_lifecycle_stage(now);
     }
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use calloop::{LoopHandle, Readiness};
+use garnetcrank_http::MemoryGauge;
 
 use crate::turn::Turn;
 use crate::worker_id::WorkerId;
@@ -59,19 +60,21 @@
     pub(crate) signal_actions: Vec<SignalAction>,
 }
 
-/// Handle with which connections are registered with a worker's event loop, and its current turn.
+/// Handle with which connections are registered with a worker's event loop, and what accounts for them.
 #[derive(Debug, Clone)]
 pub(crate) struct Handle {
     /// Handle of the event loop.
     pub(crate) event_loop: LoopHandle<'static, TurnInputs>,
     /// Current turn, which limits what each connection does in it.
     pub(crate) turn: Rc<Turn>,
+    /// Memory of the buffers and messages of all connections, on all workers.
+    pub(crate) memory: MemoryGauge,
 }
 
 impl Handle {
     /// Creates the handle of an event loop whose first turn has not begun.
     pub(crate) fn new(event_loop: LoopHandle<'static, TurnInputs>) -> Self {
-        Handle { event_loop, turn: Rc::default() }
+        Handle { event_loop, turn: Rc::default(), memory: MemoryGauge::default() }
     }
 }
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -302,6 +302,31 @@
         self.pool.evict_idle()
     }
 
+    /// Returns the memory of the exchange that takes the most, in bytes.
+    pub(crate) fn largest_bytes(&self) -> usize {
+        self.largest_exchange().map_or(0, |(bytes, _)| bytes)
+    }
+
+    /// Ends the exchange that takes the most memory, and closes its connection.
+    pub(crate) fn end_largest_exchange(&mut self, now: Micros, events: &mut Vec<UpstreamEvent>) {
+        let Some((_, id)) = self.largest_exchange() else { return };
+        let request_sent = self.pool.get(id).is_some_and(UpstreamConnection::request_sent);
+        let outcome = if request_sent { Outcome::ConnectionLost } else { Outcome::NotSent };
+        self.finish(id, outcome, None, now, events);
+    }
+
+    fn largest_exchange(&self) -> Option<(usize, ConnId)> {
+        let active = self.pool.iter().filter(|(_, connection)| connection.active.is_some());
+        active.map(|(id, connection)| (connection.memory_bytes(), *id)).max()
+    }
+
+    /// Releases the memory of all buffers that are empty.
+    pub(crate) fn release_empty_buffers(&mut self) {
+        for connection in self.pool.values_mut() {
+            connection.connection.release_empty_buffers();
+        }
+    }
+
     /// Closes connections that have exceeded their maximum idle time.
     pub(crate) fn on_tick(&mut self, now: Micros) {
         self.pool.close_expired(now);
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -114,6 +114,12 @@
         self.active.as_ref().is_some_and(|active| active.exchange.request_sent())
     }
 
+    /// Returns the memory that the connection takes, in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        let response_bytes = self.active.as_ref().map_or(0, |active| active.exchange.response_bytes());
+        self.connection.buffer_bytes() + response_bytes
+    }
+
     /// Returns whether the response is being streamed to the client.
     pub(super) fn is_streaming(&self) -> bool {
         self.active.as_ref().is_some_and(|active| active.is_streaming)
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -94,6 +94,11 @@
         self.connections.iter()
     }
 
+    /// Iterates over all connections for modification, in no particular order.
+    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut UpstreamConnection> {
+        self.connections.values_mut()
+    }
+
     /// Returns a connection.
     pub(super) fn get(&self, id: ConnId) -> Option<&UpstreamConnection> {
         self.connections.get(&id)
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -16,6 +16,7 @@
 use crate::clock::SECOND;
 use crate::discovery::EndpointAddress;
 use crate::readiness::{ConnId, ConnIds, Handle, TurnInputs};
+use crate::turn::MAX_READ_BYTES_PER_TURN;
 
 fn read_response(text: &str) -> Response {
     let mut ring = Ring::new(4096);
@@ -27,11 +28,14 @@
 }
 
 const NOW: Micros = 1_000 * SECOND;
+/// A connection that has not used up its quota may read once more.
+const MAX_READ_BYTES: usize = 16 * 1024;
 const LATER: Micros = NOW + 5 * SECOND;
 
 /// One endpoint and the connections to it. Tests pass the current time to each call.
 struct Fixture {
-    event_loop: EventLoop<'static, TurnInputs>,
+    _event_loop: EventLoop<'static, TurnInputs>,
+    handle: Handle,
     listener: TcpListener,
     upstream: Upstream,
     ids: ConnIds,
@@ -53,8 +57,10 @@
             report_columns: Vec::new(),
         };
         let event_loop = EventLoop::try_new().expect("creates an event loop");
+        let handle = Handle::new(event_loop.handle());
         let (upstream, ids) = (Upstream::new(transport), ConnIds::default());
-        let mut fixture = Fixture { event_loop, listener, upstream, ids, events: Vec::new(), request };
+        let mut fixture =
+            Fixture { _event_loop: event_loop, handle, listener, upstream, ids, events: Vec::new(), request };
         fixture.update(fixture.present_address());
         fixture
     }
@@ -75,17 +81,24 @@
     }
 
     fn attempt(&mut self, id: u32, now: Micros) {
+        self.start_attempt(id, false, now);
+    }
+
+    fn attempt_streamed(&mut self, id: u32, now: Micros) {
+        self.start_attempt(id, true, now);
+    }
+
+    fn start_attempt(&mut self, id: u32, streamed: bool, now: Micros) {
         let request = UpstreamRequest {
             id: RequestId(id),
             attempt: 0,
             endpoint: EndpointId(1),
             request: &self.request,
             deadline: now + 4 * SECOND,
-            streamed: false,
+            streamed,
         };
-        let handle = Handle::new(self.event_loop.handle());
         self.upstream
-            .start_attempt(&handle, &mut self.ids, now, &request, &mut self.events)
+            .start_attempt(&self.handle, &mut self.ids, now, &request, &mut self.events)
             .expect("attempt starts");
     }
 
@@ -249,3 +262,54 @@
     columns.push("unknown".to_owned());
     assert!(load(&columns).is_empty(), "an incomplete report gives no values");
 }
+
+/// Guards against what is held for an incomplete response counting nowhere.
+#[test]
+fn the_largest_incomplete_response_gives_way_and_is_released() {
+    let mut fixture = Fixture::new();
+    fixture.attempt(1, NOW);
+    let mut large = fixture.accept();
+    fixture.attempt(2, NOW);
+    let mut small = fixture.accept();
+    write_text(
+        &mut large,
+        &format!("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n{}", "x".repeat(50_000)),
+    );
+    while fixture.upstream.largest_bytes() < 50_000 {
+        fixture.report_ready(NOW);
+    }
+    assert!(fixture.handle.memory.bytes() >= 50_000);
+    fixture.upstream.end_largest_exchange(NOW, &mut fixture.events);
+    assert_eq!(fixture.completed(), [(1, Outcome::ConnectionLost)]);
+    fixture.upstream.release_empty_buffers();
+    assert_eq!(fixture.handle.memory.bytes(), 0);
+    write_text(&mut small, RESPONSE);
+    fixture.wait_for_bytes();
+    fixture.report_ready(NOW);
+    assert_eq!(fixture.completed(), [(2, Outcome::Success)]);
+}
+
+/// Guards against an endpoint that always has more to send and is read without end in one turn.
+#[test]
+fn a_stream_is_read_up_to_the_quota_of_a_turn() {
+    let mut fixture = Fixture::new();
+    fixture.attempt_streamed(1, NOW);
+    let mut endpoint = fixture.accept();
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    write_text(
+        &mut endpoint,
+        &format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(10)),
+    );
+    let mut received = 0;
+    while received < 10 * 0x8000 {
+        fixture.handle.turn.begin(&mut Vec::new());
+        fixture.report_ready(NOW);
+        let parts = fixture.events.drain(..).map(|event| match event {
+            UpstreamEvent::BodyPart { bytes, .. } => bytes.len(),
+            _ => 0,
+        });
+        let read_in_turn: usize = parts.sum();
+        assert!(read_in_turn <= MAX_READ_BYTES_PER_TURN + MAX_READ_BYTES, "{read_in_turn} bytes in a turn");
+        received += read_in_turn;
+    }
+}
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -10,6 +10,7 @@
 mod fairness;
 mod forwarding;
 mod limits;
+mod memory;
 mod rollout;
 mod shutdown;
 mod streaming;
--- /dev/null
+++ b/crates/proxy/tests/proxy/memory.rs
@@ -0,0 +1,69 @@
+//! What clients make the proxy hold stays within its memory limit.
+
+use garnetcrank_test_support::scripted_servers::{RunningProxy, ScriptedEndpoint, request};
+
+use crate::common::{proxy_setup, respond_ok};
+
+/// Lower than what [`LARGE_CLIENTS`] messages of the largest size take.
+const MEMORY_LIMIT_MIB: u64 = 16;
+const LARGE_CLIENTS: usize = 300;
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Returns the resident memory of a process without the pages of files, in KiB.
+fn anonymous_memory_kib(process_id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    let value = line.and_then(|line| line.split_whitespace().next()).expect("the system reports it");
+    value.parse().expect("a number")
+}
+
+fn assert_within_limit(proxy: &RunningProxy) {
+    let memory_kib = anonymous_memory_kib(proxy.process_id());
+    assert!(memory_kib <= MEMORY_LIMIT_MIB * 1024, "{memory_kib} KiB of {MEMORY_LIMIT_MIB} MiB");
+}
+
+/// Starts a proxy and [`LARGE_CLIENTS`] clients that send `text` and wait. Usual clients are served meanwhile, and the
+/// others get an error.
+fn assert_memory_is_bounded(text: impl Fn() -> String) {
+    let endpoint = ScriptedEndpoint::start(respond_ok("yes"));
+    let (_discovery, _controller, mut setup) = proxy_setup(&[endpoint.address]);
+    setup.memory_mb = MEMORY_LIMIT_MIB;
+    let proxy = RunningProxy::start(&setup);
+    let mut usual_client = proxy.client();
+    let mut large_clients = Vec::new();
+    for _ in 0..LARGE_CLIENTS {
+        let mut client = proxy.client();
+        client.send(&text());
+        large_clients.push(client);
+        assert_eq!(usual_client.get().status(), 200);
+        assert_within_limit(&proxy);
+    }
+    for client in &mut large_clients {
+        let response = client.read().expect("the proxy responds");
+        assert!([503, 408].contains(&response.status()), "{response:?}");
+        assert_within_limit(&proxy);
+    }
+    let large_request = request("POST", "/book", 9000, &"x".repeat(MAX_BODY_BYTES));
+    assert_eq!(usual_client.exchange(&large_request).expect("the proxy responds").status(), 200);
+}
+
+/// Guards against clients that stop near the end of a large body: what they had sent counted nowhere, and took the
+/// proxy over its memory limit.
+#[test]
+fn incomplete_bodies_stay_within_the_memory_limit() {
+    assert_memory_is_bounded(|| {
+        let complete = request("POST", "/book", 9000, &"x".repeat(MAX_BODY_BYTES));
+        complete[..complete.len() - 1].to_owned()
+    });
+}
+
+/// Guards against the same by chunks, whose total size is not known before the last one.
+#[test]
+fn incomplete_chunked_bodies_stay_within_the_memory_limit() {
+    assert_memory_is_bounded(|| {
+        let head =
+            request("POST", "/book", 9000, "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+        format!("{head}{}", chunk.repeat(MAX_BODY_BYTES / 0x1000))
+    });
+}
--- a/crates/test-support/src/scripted_servers/setup.rs
+++ b/crates/test-support/src/scripted_servers/setup.rs
@@ -18,6 +18,8 @@
     pub controller: SocketAddr,
     /// Limit on descriptors (`limits.sockets`).
     pub descriptor_limit: usize,
+    /// Memory limit in MiB (`limits.memory_mb`).
+    pub memory_mb: u64,
     /// Settings of the deployment.
     pub settings: serde_json::Value,
     /// Address on which the proxy listens; none for any free address.
@@ -40,6 +42,7 @@
             discovery: discovery.address,
             controller: controller.address,
             descriptor_limit: 1024,
+            memory_mb: 192,
             settings: serde_json::from_str(include_str!("../../../proxy/tests/settings.json"))
                 .expect("valid JSON"),
             listen: None,
@@ -51,9 +54,10 @@
     pub fn config(&self, listen: SocketAddr) -> String {
         format!(
             r#"{{"name":"n1","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},
+            "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
             "pipeline":{{"address":"{}","news":{}}},"known":{},"settings":{}}}"#,
             self.discovery,
+            self.memory_mb,
             self.descriptor_limit,
             self.controller,
             self.rollout,
