--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod event;
+mod eviction;
+mod responses;
 #[cfg(test)]
 mod tests;
 
@@ -10,7 +12,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
-use garnetcrank_http::{MessageError, write_response};
+use garnetcrank_http::MessageError;
 use garnetcrank_policy::api::{Micros, RequestId};
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Socket, Type};
@@ -29,8 +31,6 @@
 /// Capacity of a client's output buffer, in bytes: a response with its head, or the parts of a streamed
 /// response that a slow client has not taken yet.
 const OUTPUT_RING_BYTES: usize = 2 * MAX_BODY_BYTES + 64 * 1024;
-/// Number of unsent bytes above which reading of the client's streamed response is paused.
-const MAX_STREAM_BACKLOG_BYTES: usize = MAX_BODY_BYTES;
 
 /// The listening socket and its registration with the event loop.
 struct Listener {
@@ -205,103 +205,6 @@
         true
     }
 
-    /// Responds to a bad request with an error message as plain text, and closes the connection.
-    pub(crate) fn send_error_response(
-        &mut self,
-        id: ConnId,
-        status: u16,
-        message: &str,
-        now: Micros,
-        events: &mut Vec<DownstreamEvent>,
-    ) {
-        if let Some(client) = self.clients.get_mut(&id) {
-            client.keep_alive = false;
-        }
-        let body = format!("{message}\n");
-        let headers: [(&str, &[u8]); 1] = [("Content-Type", b"text/plain")];
-        self.send_response(id, status, headers.into_iter(), body.as_bytes(), now, events);
-    }
-
-    /// Sends the final response to a client's request. If the client has already sent its next request, that
-    /// is read in the next turn.
-    pub(crate) fn send_response<'a>(
-        &mut self,
-        id: ConnId,
-        status: u16,
-        headers: impl Iterator<Item = (&'a str, &'a [u8])>,
-        body: &[u8],
-        now: Micros,
-        events: &mut Vec<DownstreamEvent>,
-    ) {
-        let is_last = self.close_after_response || self.descriptors_scarce;
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        let headers = headers.chain(client.connection_header(is_last));
-        let written = write_response(&mut client.connection.output, status, headers, Some(body));
-        if written.is_err() {
-            // The response does not fit into the output buffer, so none of it is sent and the connection is
-            // closed.
-            self.clients.remove(&id);
-            return;
-        }
-        client.on_response_written(now);
-        self.advance(id, now, events);
-    }
-
-    /// Writes the head of a streamed response.
-    pub(crate) fn start_response<'a>(
-        &mut self,
-        id: ConnId,
-        headers: impl Iterator<Item = (&'a str, &'a [u8])>,
-    ) {
-        let is_last = self.close_after_response || self.descriptors_scarce;
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        client.streaming = true;
-        let headers = headers.chain(client.connection_header(is_last));
-        // Always fits: the output buffer is empty between responses, and the size of a head is limited.
-        let _ = write_response(&mut client.connection.output, 200, headers, None);
-    }
-
-    /// Forwards a part of a streamed response as one chunk. Returns true if more than
-    /// [`MAX_STREAM_BACKLOG_BYTES`] are unsent afterwards; the caller then pauses the upstream.
-    pub(crate) fn send_body_part(
-        &mut self,
-        id: ConnId,
-        bytes: &[u8],
-        now: Micros,
-        events: &mut Vec<DownstreamEvent>,
-    ) -> bool {
-        let Some(client) = self.clients.get_mut(&id) else { return false };
-        let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
-        chunk.extend_from_slice(bytes);
-        chunk.extend_from_slice(b"\r\n");
-        if client.connection.output.push(&chunk).is_err() {
-            self.disconnect(id, events);
-            return false;
-        }
-        client.last_progress = now;
-        self.advance(id, now, events);
-        let client = self.clients.get(&id);
-        client.is_some_and(|client| client.connection.output.len() > MAX_STREAM_BACKLOG_BYTES)
-    }
-
-    /// Writes the last chunk of a streamed response.
-    pub(crate) fn finish_response(&mut self, id: ConnId, now: Micros, events: &mut Vec<DownstreamEvent>) {
-        let is_last = self.close_after_response || self.descriptors_scarce;
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        client.keep_alive &= !is_last;
-        if client.connection.output.push(b"0\r\n\r\n").is_err() {
-            return self.abort_response(id);
-        }
-        client.streaming = false;
-        client.on_response_written(now);
-        self.advance(id, now, events);
-    }
-
-    /// Closes the connection without the last chunk, which shows the client that the response is incomplete.
-    pub(crate) fn abort_response(&mut self, id: ConnId) {
-        self.clients.remove(&id);
-    }
-
     /// Returns true once the listening socket is closed and no client is connected. Until then a request may
     /// be unread or only partly read, and closing a connection on which the client still sends could cause a
     /// TCP reset that overtakes the last response.
@@ -309,94 +212,6 @@
         !self.is_listening() && self.clients.is_empty()
     }
 
-    /// Closes the connections that are between requests and have no unread input. A new connection is kept
-    /// for [`client::FIRST_REQUEST_TIMEOUT`], as its first request may be on the way.
-    pub(crate) fn close_idle(&mut self, now: Micros) {
-        self.clients.retain(|_, client| {
-            !(client.may_close_on_shutdown(now) && client.connection.is_open_without_input())
-        });
-    }
-
-    /// Closes one connection to free its file descriptor. Returns false if none may be closed. Connections
-    /// whose last response has been sent are preferred, then those that have not sent a request yet, then the
-    /// one with the longest time since its last progress.
-    pub(crate) fn evict_idle(&mut self, now: Micros) -> bool {
-        let evictable = self.clients.iter().filter(|(_, client)| client.is_evictable(now));
-        let mut in_order: Vec<_> = evictable
-            .map(|(id, client)| (!client.write_shut_down, !client.is_new, client.last_progress, *id))
-            .collect();
-        in_order.sort_unstable();
-        // Checked last, as each check is a system call.
-        let is_open_without_input = |id: &ConnId| self.clients[id].connection.is_open_without_input();
-        let Some(id) = in_order.into_iter().map(|(.., id)| id).find(is_open_without_input) else {
-            return false;
-        };
-        self.clients.remove(&id);
-        true
-    }
-
-    /// Rejects the request that has been incomplete for the longest time, and closes its connection to free the file
-    /// descriptor. Returns false if there is none that may be rejected. The rest of a request that a client still sends
-    /// is answered by a reset, which comes after the response.
-    pub(crate) fn shed_partial_request(&mut self, now: Micros, events: &mut Vec<DownstreamEvent>) -> bool {
-        let sheddable = self.clients.iter().filter(|(_, client)| client.is_sheddable(now));
-        let mut oldest_first: Vec<_> = sheddable.map(|(id, client)| (client.last_progress, *id)).collect();
-        oldest_first.sort_unstable();
-        for (_, id) in oldest_first {
-            self.reject_partial_request(id, now, events);
-            // A client that has not read its earlier responses keeps its connection until it does.
-            let response_sent = self.clients.get(&id).is_none_or(|client| client.write_shut_down);
-            if response_sent {
-                self.clients.remove(&id);
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Rejects the incomplete request that takes the most memory, at least `min_bytes`, and releases it. Returns false if
-    /// there is none.
-    pub(crate) fn shed_largest_partial_request(
-        &mut self,
-        min_bytes: usize,
-        now: Micros,
-        events: &mut Vec<DownstreamEvent>,
-    ) -> bool {
-        let partial = self.clients.iter().filter(|(_, client)| client.has_partial_request());
-        let sizes = partial.map(|(id, client)| (client.memory_bytes(), *id));
-        let Some((bytes, id)) = sizes.max() else { return false };
-        if bytes < min_bytes {
-            return false;
-        }
-        self.reject_partial_request(id, now, events);
-        true
-    }
-
-    fn reject_partial_request(&mut self, id: ConnId, now: Micros, events: &mut Vec<DownstreamEvent>) {
-        events.push(DownstreamEvent::BadRequest(BadRequest::Shed));
-        self.send_error_response(id, 503, "the request did not come whole while others waited", now, events);
-    }
-
-    /// Returns the memory of the connection that takes the most, in bytes.
-    pub(crate) fn largest_bytes(&self) -> usize {
-        self.clients.values().map(Client::memory_bytes).max().unwrap_or(0)
-    }
-
-    /// Closes the connection that takes the most memory.
-    pub(crate) fn close_largest(&mut self, events: &mut Vec<DownstreamEvent>) {
-        let sizes = self.clients.iter().map(|(id, client)| (client.memory_bytes(), *id));
-        if let Some((_, id)) = sizes.max() {
-            self.disconnect(id, events);
-        }
-    }
-
-    /// Releases the memory of all buffers that are empty.
-    pub(crate) fn release_empty_buffers(&mut self) {
-        for client in self.clients.values_mut() {
-            client.connection.release_empty_buffers();
-        }
-    }
-
     /// Closes stalled connections, and reads from clients whose request is in flight. The latter detects a
     /// client that disconnected right after its request: both arrive with one edge-triggered report, and no
     /// other follows.
