--- a/crates/proxy/src/downstream/eviction.rs
+++ b/crates/proxy/src/downstream/eviction.rs
@@ -8,7 +8,7 @@
 
 impl Downstream {
     /// Closes the connections that are between requests and have no unread input. A new connection is kept
-    /// for [`client::FIRST_REQUEST_TIMEOUT`], as its first request may be on the way.
+    /// for [`FIRST_REQUEST_TIMEOUT`](super::client::FIRST_REQUEST_TIMEOUT), as its first request may be on the way.
     pub(crate) fn close_idle(&mut self, now: Micros) {
         self.clients.retain(|_, client| {
             !(client.may_close_on_shutdown(now) && client.connection.is_open_without_input())
