--- a/crates/proxy/benches/cores.rs
+++ b/crates/proxy/benches/cores.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use garnetcrank_test_support::load_generator::{self, LoadReport, cpu_time_seconds, run_clients};
+use garnetcrank_test_support::load_generator::{
+    self, ClientLoad, LoadReport, USUAL_TIMEOUT, cpu_time_seconds, run_clients,
+};
 use garnetcrank_test_support::scripted_servers::RunningProxy;
 
 fn numeric_option(name: &str, default: f64) -> f64 {
@@ -27,9 +29,10 @@
     setup.features = Some(format!(r#"{{"cores":{cores}}}"#));
     let proxy = RunningProxy::start(&setup);
     // This unmeasured run makes connections and grows buffers.
-    run_clients(proxy.address, clients, request_interval, Duration::from_secs_f64(seconds / 4.0));
+    let load = ClientLoad { count: clients, interval: request_interval, timeout: USUAL_TIMEOUT };
+    run_clients(proxy.address, load, Duration::from_secs_f64(seconds / 4.0));
     let cpu_seconds_before = cpu_time_seconds(proxy.process_id());
-    let report = run_clients(proxy.address, clients, request_interval, Duration::from_secs_f64(seconds));
+    let report = run_clients(proxy.address, load, Duration::from_secs_f64(seconds));
     (report, cpu_time_seconds(proxy.process_id()) - cpu_seconds_before)
 }
 
--- a/crates/test-support/src/load_generator.rs
+++ b/crates/test-support/src/load_generator.rs
@@ -15,6 +15,8 @@
 
 /// Significant digits of the histograms.
 const SIGNIFICANT_DIGITS: u8 = 3;
+/// Time that a usual client gives its requests.
+pub const USUAL_TIMEOUT: Duration = Duration::from_secs(9);
 /// Maximum wait of a client for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Stack size of a thread, in bytes; small, as there may be a thousand threads.
@@ -47,8 +49,13 @@
             .is_ok_and(|copied| copied == body_length)
 }
 
-/// Starts an endpoint that responds to every request with 200 and a short body. Returns its address.
+/// Starts an endpoint that responds to every request at once, with 200 and a short body. Returns its address.
 pub fn start_endpoint() -> SocketAddr {
+    start_endpoint_with_latency(Duration::ZERO)
+}
+
+/// Starts an endpoint that responds to every request after `latency`, with 200 and a short body. Returns its address.
+pub fn start_endpoint_with_latency(latency: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("the listener has an address");
     spawn_detached(move || {
@@ -58,6 +65,7 @@
                 let Ok(mut output) = stream.try_clone() else { return };
                 let (mut input, mut head) = (BufReader::new(stream), String::new());
                 while read_message(&mut input, &mut head) {
+                    std::thread::sleep(latency);
                     if output.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer").is_err() {
                         return;
                     }
@@ -110,22 +118,28 @@
     }
 }
 
-/// Runs `count` clients for a while, each with one connection and one request at a time. With an `interval`,
-/// a client starts one request per interval. Without an interval, it starts the next one as soon as it has a
-/// response.
-pub fn run_clients(
-    proxy: SocketAddr,
-    count: usize,
-    interval: Option<Duration>,
-    duration: Duration,
-) -> LoadReport {
+/// Clients that each have one connection, and one request open at a time.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientLoad {
+    /// Number of clients.
+    pub count: usize,
+    /// Time from the start of one request to that of the next. Without it, a client starts the next request as soon as
+    /// it has a response.
+    pub interval: Option<Duration>,
+    /// Time that the clients state for each request.
+    pub timeout: Duration,
+}
+
+/// Runs clients for a while.
+pub fn run_clients(proxy: SocketAddr, load: ClientLoad, duration: Duration) -> LoadReport {
+    let ClientLoad { count, interval, .. } = load;
     let stop = Arc::new(AtomicBool::new(false));
     let started = Instant::now();
     let spawn = |number: usize| {
         let stop = stop.clone();
         // Spreads the clients over the first interval, or all would send at the same moments.
         let delay = interval.map(|interval| interval.mul_f64(number as f64 / count as f64));
-        let client = move || run_client(proxy, interval, delay, &stop);
+        let client = move || run_client(proxy, load, delay, &stop);
         std::thread::Builder::new().stack_size(STACK_BYTES).spawn(client).expect("the thread starts")
     };
     let threads: Vec<_> = (0..count).map(spawn).collect();
@@ -140,12 +154,8 @@
 }
 
 /// Runs one client until `stop` is set or the connection ends.
-fn run_client(
-    proxy: SocketAddr,
-    interval: Option<Duration>,
-    delay: Option<Duration>,
-    stop: &AtomicBool,
-) -> LoadReport {
+fn run_client(proxy: SocketAddr, load: ClientLoad, delay: Option<Duration>, stop: &AtomicBool) -> LoadReport {
+    let ClientLoad { interval, timeout, .. } = load;
     let mut report = LoadReport::new();
     let stream = TcpStream::connect(proxy).expect("the proxy accepts a connection");
     let _ = stream.set_nodelay(true);
@@ -158,7 +168,7 @@
     }
     while !stop.load(Ordering::Relaxed) {
         let sent = Instant::now();
-        if output.write_all(request().as_bytes()).is_err() || !read_message(&mut input, &mut head) {
+        if output.write_all(request(timeout).as_bytes()).is_err() || !read_message(&mut input, &mut head) {
             report.unanswered += 1;
             break;
         }
@@ -175,12 +185,13 @@
 }
 
 /// Formats a request with a unique id.
-fn request() -> String {
+fn request(timeout: Duration) -> String {
     static NEXT_ID: AtomicU64 = AtomicU64::new(1 << 40);
     let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     format!(
         "GET /look/7 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {id:016x}\r\nTenant: acme\r\n\
-         Request-Timeout-Ms: 9000\r\n\r\n"
+         Request-Timeout-Ms: {}\r\n\r\n",
+        timeout.as_millis()
     )
 }
 
@@ -213,7 +224,7 @@
 /// When the connection fails.
 pub fn pipeline_requests(proxy: SocketAddr, count: usize, duration: Duration, stop: &AtomicBool) {
     const REJECTED: &[u8] = b"HTTP/1.1 503";
-    let requests = |count| -> String { (0..count).map(|_| request()).collect() };
+    let requests = |count| -> String { (0..count).map(|_| request(USUAL_TIMEOUT)).collect() };
     let until = Instant::now() + duration;
     let mut stream = TcpStream::connect(proxy).expect("the proxy accepts a connection");
     stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).expect("the read timeout is set");
--- a/crates/test-support/src/scripted_servers/client.rs
+++ b/crates/test-support/src/scripted_servers/client.rs
@@ -1,6 +1,6 @@
 //! A client of the proxy.
 
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -37,6 +37,25 @@
         self.reader.get_mut().write_all(text.as_bytes()).is_ok()
     }
 
+    /// Sends as much of a text as the connection takes without waiting. Returns the number of bytes sent.
+    ///
+    /// # Panics
+    /// When the connection fails.
+    pub fn send_without_waiting(&mut self, text: &str) -> usize {
+        let stream = self.reader.get_mut();
+        stream.set_nonblocking(true).expect("the mode is set");
+        let mut sent = 0;
+        while sent < text.len() {
+            match stream.write(&text.as_bytes()[sent..]) {
+                Ok(written) => sent += written,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => panic!("the connection fails: {error}"),
+            }
+        }
+        stream.set_nonblocking(false).expect("the mode is set");
+        sent
+    }
+
     /// Reads a response. Returns none if the connection ends before the response is complete.
     pub fn read(&mut self) -> Option<ReceivedMessage> {
         read_message(&mut self.reader)
--- a/crates/test-support/src/scripted_servers/endpoint.rs
+++ b/crates/test-support/src/scripted_servers/endpoint.rs
@@ -22,6 +22,8 @@
     SendRawAndClose(&'static str),
     /// A response with status 200, after a call of [`ScriptedEndpoint::release`].
     WaitForRelease,
+    /// A response that states that the request was not started, after a call of [`ScriptedEndpoint::release`].
+    RejectAfterRelease,
     /// A streamed response. Each chunk and the end wait for a call of [`ScriptedEndpoint::release`].
     Stream {
         /// The chunks.
@@ -116,6 +118,10 @@
                 wait_for_release();
                 response_bytes(200, "", b"late")
             }
+            EndpointBehavior::RejectAfterRelease => {
+                wait_for_release();
+                response_bytes(503, "Not-Started: 1\r\n", b"")
+            }
             EndpointBehavior::Stream { chunks, complete } => {
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 for chunk in chunks {
