The id of a request stays in use while an attempt is open or has run

Callers saw: an order that was sent again under its id after its client had left was answered 200, and ran twice.

Cause: the id of a request was free again with its final response or its client's disconnect (InFlightTable::mark_completed), while its cancelled attempt might still run at the endpoint, or had run already.

An attempt that is cancelled before its request has been sent completely ends as not sent, as the endpoint can't have started it: its id is free at once.

The dispatcher's own tests sent a second request under the first one's id while its attempt was open; that one has an id of its own now.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -64,7 +64,7 @@
     bad_requests_timed_out: "bad_late",
     /// Bad requests that can be read but not classified.
     bad_requests_unclassified: "bad_meaning",
-    /// Bad requests with the `Request-Id` of another open one.
+    /// Bad requests with the `Request-Id` of another one that is open or may have run.
     bad_requests_duplicate_id: "bad_name_taken",
     /// Client connections closed because nothing arrived on them.
     idle_clients_closed: "idle_clients_closed",
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -3,6 +3,7 @@
 
 mod command;
 mod in_flight;
+mod request_ids;
 
 #[cfg(test)]
 mod tests;
@@ -12,7 +13,7 @@
 use garnetcrank_http::{Headers, Request as Message, Response};
 use garnetcrank_policy::Policy;
 use garnetcrank_policy::api::{
-    Action, AttemptResult, Config, EndpointId, Event, Micros, Outcome, Request, RequestId,
+    Action, AttemptResult, Config, EndpointId, Event, Idempotency, Micros, Outcome, Request, RequestId,
 };
 use garnetcrank_settings::Settings;
 use garnetcrank_shared_policy::DecisionStamp;
@@ -43,12 +44,13 @@
 }
 
 impl Dispatcher {
-    /// Creates a policy with no requests in flight. The same seed gives the same random draws.
-    pub(crate) fn new(seed: u64, settings: &Settings, worker_count: usize) -> Self {
+    /// Creates a policy with no requests in flight. The same seed gives the same random draws. Up to
+    /// `max_retained_ids` ids of requests that have ended are refused when they come again.
+    pub(crate) fn new(seed: u64, settings: &Settings, worker_count: usize, max_retained_ids: usize) -> Self {
         Dispatcher {
             policy: Policy::new(seed, settings.config.clone()),
             config: settings.config.clone(),
-            in_flight: InFlightTable::new(worker_count),
+            in_flight: InFlightTable::new(worker_count, max_retained_ids),
             shutdown_deadline: None,
             priority_events: VecDeque::new(),
             updates_handled: 0,
@@ -72,10 +74,10 @@
         self.in_flight.memory_bytes()
     }
 
-    /// Returns whether an open request has the same `Request-Id`: a request of another client, or the same
-    /// request sent again while it is still in flight.
-    pub(crate) fn is_duplicate(&self, message: &Message) -> bool {
-        self.in_flight.is_duplicate(message)
+    /// Returns whether the `Request-Id` is that of an open request or of one that may have run: a request of another
+    /// client, or the same request sent again.
+    pub(crate) fn is_duplicate(&mut self, message: &Message, now: Micros) -> bool {
+        self.in_flight.ids.is_in_use(message, now)
     }
 
     /// Returns when [`Dispatcher::expire_overdue`] must next be called for a worker.
@@ -109,7 +111,8 @@
         let Classification { class, tenant, timeout, work_hint, is_retry } = classification;
         let own_deadline = now + timeout;
         let deadline = self.shutdown_deadline.map_or(own_deadline, |latest| latest.min(own_deadline));
-        let id = self.in_flight.insert(client, message, class, deadline);
+        let is_idempotent = self.config.classes[class.0].idempotency == Idempotency::Idempotent;
+        let id = self.in_flight.insert(client, message, class, is_idempotent, deadline);
         let request = Request { id, class, tenant, key: None, deadline, work_hint, is_retry };
         self.events.push_back(Event::Request(request));
         id
@@ -182,12 +185,14 @@
         if result.request_finished {
             self.in_flight.mark_completed(result.id);
         }
+        self.in_flight.ids.attempt_ended(result.id, result.outcome);
         self.events.push_back(Event::AttemptCompleted(result));
     }
 
     /// Reports an attempt that ended before any byte was sent.
     pub(crate) fn on_attempt_not_started(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
         let request_finished = self.get(id).is_none();
+        self.in_flight.ids.attempt_ended(id, outcome);
         self.events.push_back(Event::AttemptCompleted(AttemptResult {
             id,
             attempt,
@@ -257,6 +262,8 @@
         let request = self.in_flight.get_mut(id)?;
         let attempt = request.attempt_count;
         request.attempt_count += 1;
+        self.in_flight.ids.attempt_started(id);
+        let request = self.in_flight.get(id)?;
         let streamed = self.config.classes[request.class.0].streamed;
         let deadline = timeout.map_or(request.deadline, |timeout| request.deadline.min(now + timeout));
         let allowed = attempt < self.config.max_attempts && (deadline > now || streamed);
--- a/crates/proxy/src/dispatcher/in_flight.rs
+++ b/crates/proxy/src/dispatcher/in_flight.rs
@@ -1,6 +1,6 @@
 //! Table of the requests in flight, with their clients, expirations and memory use.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use garnetcrank_http::Request as Message;
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::clock::MS;
+use crate::dispatcher::request_ids::RequestIds;
 use crate::readiness::ConnId;
 use crate::worker_id::WorkerId;
 
@@ -50,8 +51,8 @@
 /// All requests in flight on all workers, with running totals of those that await their response.
 pub(super) struct InFlightTable {
     requests: FxHashMap<RequestId, InFlightRequest>,
-    /// `Request-Id` headers of the requests that await their response.
-    open_request_ids: HashSet<Vec<u8>>,
+    /// The clients' own ids of the requests.
+    pub(super) ids: RequestIds,
     expirations: BTreeSet<Expiration>,
     awaiting_count: usize,
     awaiting_count_by_worker: Vec<usize>,
@@ -60,11 +61,11 @@
 }
 
 impl InFlightTable {
-    /// Creates an empty table.
-    pub(super) fn new(worker_count: usize) -> Self {
+    /// Creates an empty table, with up to `max_retained_ids` ids of requests that have ended.
+    pub(super) fn new(worker_count: usize, max_retained_ids: usize) -> Self {
         InFlightTable {
             requests: FxHashMap::default(),
-            open_request_ids: HashSet::new(),
+            ids: RequestIds::new(max_retained_ids),
             expirations: BTreeSet::new(),
             awaiting_count: 0,
             awaiting_count_by_worker: vec![0; worker_count],
@@ -88,11 +89,6 @@
         self.memory_bytes
     }
 
-    /// Returns whether a request with the same `Request-Id` awaits its response.
-    pub(super) fn is_duplicate(&self, message: &Message) -> bool {
-        self.open_request_ids.contains(request_id_header(message))
-    }
-
     /// Returns a request that awaits its response.
     pub(super) fn get_awaiting_response(&self, id: RequestId) -> Option<&InFlightRequest> {
         self.requests.get(&id).filter(|request| request.awaiting_response)
@@ -114,13 +110,14 @@
         client: ConnId,
         message: Message,
         class: ClassId,
+        is_idempotent: bool,
         deadline: Micros,
     ) -> RequestId {
         let id = self.allocate_id(client.worker());
         self.awaiting_count += 1;
         self.awaiting_count_by_worker[client.worker().0] += 1;
         self.memory_bytes += message.memory.bytes();
-        self.open_request_ids.insert(request_id_header(&message).to_vec());
+        self.ids.open(id, &message, is_idempotent, deadline);
         self.expirations.insert(Expiration::new(id, deadline));
         let request = InFlightRequest {
             client,
@@ -141,7 +138,8 @@
         let worker_count = self.awaiting_count_by_worker.len() as u32;
         let numbers_per_worker = u32::MAX / worker_count;
         let id_of = |number: u32| RequestId(number % numbers_per_worker * worker_count + worker.0 as u32);
-        while self.requests.contains_key(&id_of(self.next_number)) {
+        let is_used = |id: RequestId| self.requests.contains_key(&id) || self.ids.is_open(id);
+        while is_used(id_of(self.next_number)) {
             self.next_number = self.next_number.wrapping_add(1);
         }
         let id = id_of(self.next_number);
@@ -161,7 +159,7 @@
         self.awaiting_count -= 1;
         self.awaiting_count_by_worker[request.client.worker().0] -= 1;
         self.memory_bytes -= request.message.memory.bytes();
-        self.open_request_ids.remove(request_id_header(&request.message));
+        self.ids.response_ended(id);
         self.expirations.remove(&Expiration::new(id, request.deadline));
         Some(request.client)
     }
@@ -206,10 +204,10 @@
         expirations.find(|e| WorkerId::owning_request(e.id, worker_count) == worker).copied()
     }
 
-    /// Returns whether the table holds no trace of any request.
+    /// Returns whether the table holds no trace of any request, but for retained ids.
     #[cfg(test)]
     pub(super) fn is_clean(&self) -> bool {
-        self.requests.is_empty() && self.open_request_ids.is_empty() && self.expirations.is_empty()
+        self.requests.is_empty() && self.ids.has_no_open_request() && self.expirations.is_empty()
     }
 
     /// Returns the number of scheduled expirations.
@@ -218,8 +216,3 @@
         self.expirations.len()
     }
 }
-
-/// Returns the client's own id of a request.
-fn request_id_header(message: &Message) -> &[u8] {
-    message.headers.values("request-id").next().unwrap_or_default().trim_ascii()
-}
--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -15,7 +15,7 @@
 }
 
 fn dispatcher_with_one_endpoint() -> Dispatcher {
-    let mut dispatcher = Dispatcher::new(7, &settings(), 1);
+    let mut dispatcher = Dispatcher::new(7, &settings(), 1, 1_024);
     let entry = EndpointRecord { rating: 1.0, ..EndpointRecord::default() };
     dispatcher.queue_priority_event(Event::EndpointsUpdated(EndpointUpdate::Snapshot {
         endpoints: vec![entry],
@@ -33,8 +33,12 @@
 }
 
 fn receive_request(dispatcher: &mut Dispatcher, target: &str) -> RequestId {
+    receive_request_as(dispatcher, target, "1")
+}
+
+fn receive_request_as(dispatcher: &mut Dispatcher, target: &str, request_id: &str) -> RequestId {
     let text = format!(
-        "POST {target} HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nTenant: acme\r\n\
+        "POST {target} HTTP/1.1\r\nHost: x\r\nRequest-Id: {request_id}\r\nTenant: acme\r\n\
          Request-Timeout-Ms: 900\r\nContent-Length: 2\r\n\r\nhi"
     );
     let mut ring = Ring::new(4096);
@@ -43,7 +47,7 @@
         panic!("the request is not complete")
     };
     let classification = classify(&settings(), &message).expect("a classifiable request");
-    assert!(!dispatcher.is_duplicate(&message), "an earlier request is still open");
+    assert!(!dispatcher.is_duplicate(&message, NOW), "an earlier request is still open");
     dispatcher.on_request(ConnId(1), message, classification, NOW)
 }
 
@@ -132,7 +136,7 @@
     assert!(matches!(commands[..], [Command::DeadlineExceeded { .. }]));
     handle_all_events(&mut dispatcher);
     // The shutdown deadline also limits a request that arrives after it was set, and its attempts.
-    receive_request(&mut dispatcher, "/look");
+    receive_request_as(&mut dispatcher, "/look", "2");
     assert_eq!(dispatcher.next_deadline(WorkerId::FIRST), Some(NOW + 300 * MS + EXPIRATION_GRACE));
     let in_time = |c: &Command| matches!(c, Command::Forward(forward) if forward.deadline <= NOW + 300 * MS);
     let forwarded = handle_all_events(&mut dispatcher);
--- a/crates/proxy/src/downstream/event.rs
+++ b/crates/proxy/src/downstream/event.rs
@@ -21,8 +21,8 @@
     /// The request is valid HTTP but cannot be classified with the settings of this deployment.
     #[error("{0}")]
     Unclassified(ClassifyError),
-    /// Another request in flight has the same `Request-Id`.
-    #[error("Request-Id is the same as that of another request in flight")]
+    /// Another request that is in flight or may have run has the same `Request-Id`.
+    #[error("Request-Id is the same as that of another request that is in flight or may have run")]
     DuplicateRequestId,
 }
 
--- a/crates/proxy/src/proxy/budgets.rs
+++ b/crates/proxy/src/proxy/budgets.rs
@@ -24,6 +24,8 @@
 /// Buffers and messages, those of requests in flight included, may take one part in this many of the memory limit. The
 /// rest is for the program itself, its other state, and memory that is free but not returned to the system.
 const BUFFER_MEMORY_DIVISOR: u64 = 4;
+/// Number of `Request-Id`s of ended requests that are retained for each MiB of the memory limit.
+const RETAINED_IDS_PER_MIB: u64 = 1_024;
 /// Bytes per MiB.
 const MIB: u64 = 1024 * 1024;
 
@@ -78,6 +80,11 @@
     usize::try_from(memory_mb.saturating_mul(MIB) / divisor).unwrap_or(usize::MAX)
 }
 
+/// Returns the maximum number of `Request-Id`s of ended requests that are retained.
+pub(super) fn max_retained_ids(memory_mb: u64) -> usize {
+    usize::try_from(memory_mb.max(1).saturating_mul(RETAINED_IDS_PER_MIB)).unwrap_or(usize::MAX)
+}
+
 /// Returns the configured limit on descriptors, or the system's limit if that is lower.
 pub(super) fn max_descriptors(configured: usize) -> usize {
     let system_limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
--- a/crates/proxy/src/proxy/downstream_events.rs
+++ b/crates/proxy/src/proxy/downstream_events.rs
@@ -20,7 +20,7 @@
 enum Admission {
     /// It was passed on, with this id.
     Accepted(RequestId),
-    /// Another open request has the same `Request-Id`.
+    /// Another request that is open or may have run has the same `Request-Id`.
     DuplicateRequestId,
     /// Too many requests are in flight, or they take too much memory.
     OverLimit,
@@ -48,7 +48,7 @@
         }
     }
 
-    fn on_client_disconnected(&mut self, id: RequestId, now: Micros) {
+    pub(super) fn on_client_disconnected(&mut self, id: RequestId, now: Micros) {
         self.counters.clients_disconnected += 1;
         let streaming = self.shared.dispatcher().on_disconnect(id);
         if let Some(attempt) = streaming {
@@ -77,7 +77,7 @@
                 }
             }
             Admission::DuplicateRequestId => {
-                let reason = "a request of this Request-Id is still open";
+                let reason = "a request of this Request-Id is still open or may have run";
                 self.downstream.send_error_response(client, 409, reason, now, &mut self.downstream_events);
                 self.on_bad_request(BadRequest::DuplicateRequestId, now);
             }
@@ -99,7 +99,7 @@
         // The lock is held until the request is in flight: two workers must not both find its Request-Id
         // unused or both take the last free place.
         let mut dispatcher = self.shared.dispatcher();
-        if dispatcher.is_duplicate(&message) {
+        if dispatcher.is_duplicate(&message, now) {
             return Admission::DuplicateRequestId;
         }
         let in_flight_bytes = dispatcher.in_flight_bytes() + message.memory.bytes();
--- a/crates/proxy/src/proxy/startup.rs
+++ b/crates/proxy/src/proxy/startup.rs
@@ -12,7 +12,7 @@
 use tracing::info;
 
 use super::Proxy;
-use super::budgets::{Budgets, max_descriptors};
+use super::budgets::{Budgets, max_descriptors, max_retained_ids};
 use super::control_plane::ControlPlane;
 use super::sweep::SweepSchedule;
 use crate::clock::{Clock, Timers};
@@ -60,7 +60,8 @@
         let worker_count = features.worker_count();
         let max_descriptors = max_descriptors(process.sockets);
         let budgets = Budgets::per_worker(&process, features, max_descriptors);
-        let dispatcher = Dispatcher::new(process.seed, &process.settings, worker_count);
+        let max_retained_ids = max_retained_ids(process.memory_mb);
+        let dispatcher = Dispatcher::new(process.seed, &process.settings, worker_count, max_retained_ids);
         let (shared, wake_sources) = WorkerShared::new(dispatcher, worker_count)?;
         let shared = Arc::new(shared);
         let downstream = Downstream::listen(&handle, process.listen)?;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -25,8 +25,15 @@
 
 /// Maximum size of a message body, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 64 * 1024;
-/// Key of an attempt: the client's request and the number of the attempt.
-type AttemptKey = (RequestId, usize);
+
+/// An attempt of a client's request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct AttemptKey {
+    /// The client's request.
+    request: RequestId,
+    /// Number of the attempt, counted from 0.
+    attempt: usize,
+}
 
 /// All connections of a worker to endpoints, and the exchanges in progress on them.
 pub(crate) struct Upstream {
@@ -192,7 +199,7 @@
         };
         events.push(match active.purpose {
             Purpose::Attempt { id, attempt, .. } => {
-                self.attempts.remove(&(id, attempt));
+                self.attempts.remove(&AttemptKey { request: id, attempt });
                 let is_answer = outcome == Outcome::Success && !active.is_streaming;
                 let response = response.filter(|_| is_answer);
                 UpstreamEvent::AttemptCompleted { id, attempt, outcome, latency, load_report, response }
@@ -248,7 +255,8 @@
         }
     }
 
-    /// Cancels an attempt, unless its response is already being streamed.
+    /// Cancels an attempt, unless its response is already being streamed. One whose request has not been sent
+    /// completely ends as not sent: the endpoint can't have started it.
     pub(crate) fn cancel(
         &mut self,
         id: RequestId,
@@ -256,11 +264,13 @@
         now: Micros,
         events: &mut Vec<UpstreamEvent>,
     ) {
-        let Some(&connection_id) = self.attempts.get(&(id, attempt)) else { return };
-        let is_streaming = self.pool.get(connection_id).is_some_and(UpstreamConnection::is_streaming);
-        if !is_streaming {
-            self.finish(connection_id, Outcome::Cancelled, None, now, events);
+        let Some(&connection_id) = self.attempts.get(&AttemptKey { request: id, attempt }) else { return };
+        let Some(connection) = self.pool.get(connection_id) else { return };
+        if connection.is_streaming() {
+            return;
         }
+        let outcome = if connection.request_sent() { Outcome::Cancelled } else { Outcome::NotSent };
+        self.finish(connection_id, outcome, None, now, events);
     }
 
     /// Cancels an attempt whose client has disconnected, even if its response is being streamed.
@@ -271,7 +281,7 @@
         now: Micros,
         events: &mut Vec<UpstreamEvent>,
     ) {
-        if let Some(&connection_id) = self.attempts.get(&(id, attempt)) {
+        if let Some(&connection_id) = self.attempts.get(&AttemptKey { request: id, attempt }) {
             self.finish(connection_id, Outcome::Cancelled, None, now, events);
         }
     }
@@ -285,7 +295,7 @@
         now: Micros,
         events: &mut Vec<UpstreamEvent>,
     ) {
-        let Some(&connection_id) = self.attempts.get(&(id, attempt)) else { return };
+        let Some(&connection_id) = self.attempts.get(&AttemptKey { request: id, attempt }) else { return };
         if let Some(connection) = self.pool.get_mut(connection_id) {
             connection.paused = paused;
             self.resume(connection_id, now, events);
--- a/crates/proxy/src/upstream/start.rs
+++ b/crates/proxy/src/upstream/start.rs
@@ -6,7 +6,7 @@
 use super::event::{UpstreamEvent, UpstreamRequest};
 use super::exchange::{ActiveExchange, Purpose, UpstreamConnection};
 use super::outcome::{LOAD_REPORT_HEADER, connect_error_outcome};
-use super::{MAX_BODY_BYTES, Upstream};
+use super::{AttemptKey, MAX_BODY_BYTES, Upstream};
 use crate::clock::{MS, SECOND};
 use crate::connection::Connection;
 use crate::http_exchange::HttpExchange;
@@ -118,7 +118,7 @@
         });
         self.deadlines.insert((check_at, id));
         if let Purpose::Attempt { id: request, attempt, .. } = plan.purpose {
-            self.attempts.insert((request, attempt), id);
+            self.attempts.insert(AttemptKey { request, attempt }, id);
         }
         self.pool.insert(id, connection);
         // A new connection is resumed once the event loop reports that it is established.
--- a/crates/proxy/src/workers/tests.rs
+++ b/crates/proxy/src/workers/tests.rs
@@ -6,7 +6,9 @@
 fn shared(worker_count: usize) -> WorkerShared {
     let value = serde_json::from_str(include_str!("../../tests/settings.json")).expect("JSON");
     let settings = garnetcrank_settings::Settings::from_json(&value).expect("valid settings");
-    WorkerShared::new(Dispatcher::new(7, &settings, worker_count), worker_count).expect("wake-up sources").0
+    WorkerShared::new(Dispatcher::new(7, &settings, worker_count, 1_024), worker_count)
+        .expect("wake-up sources")
+        .0
 }
 
 #[test]
