No attempt begins before its client is known to be still there

Cause: a close is learnt only by reading.

Change: Connection::peer_status reads what has arrived, whatever the event loop has reported and the turn's quota has left, and says whether the peer is connected, has disconnected, or can't be known, as more lies before a close than the buffer holds. proxy/client_presence.rs asks it before each attempt, and before a request goes out on a connection that was being established or had no room. For a client that has left, the request ends; where it can't be known, the request gets its answer without another attempt (503 if nothing may have run, else 502), which lets the rest be read. Counter `withheld`, and a log line a second with the request and the reason.

Why this holds: an attempt begins in the turn in which the system was asked, so only a hold-up of the process lies between.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -16,6 +16,17 @@
 /// Size of the buffer for reading input that is dropped, in bytes.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
+/// What is known of a connection's peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PeerStatus {
+    /// It is connected, and all that it has sent has been read.
+    Connected,
+    /// It has closed its sending direction, or the connection is lost.
+    Disconnected,
+    /// It has sent more than the input buffer holds. A close can't be seen before the rest has been read.
+    Unknown,
+}
+
 /// A TCP connection with its input and output buffers. It is registered once with the event loop,
 /// edge-triggered, and unregistered when dropped.
 pub(crate) struct Connection {
@@ -118,17 +129,35 @@
     /// no second one. A connection that has used up its quota of the turn reads no more before the next one.
     pub(crate) fn fill(&mut self) -> bool {
         if self.can_read_more() {
-            match self.input.fill(&mut &*self.stream) {
-                Ok(0) => self.read_closed = true,
-                Ok(read) => self.turn_quota.record_read(read),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => self.read_closed = true,
-            }
+            self.read_once();
         }
         self.read_closed
     }
 
+    /// Reads all that has arrived, as far as the input buffer has space, and returns whether the peer is still
+    /// there. Neither a report of the event loop nor the quota of the turn is waited for: the system knows of a close
+    /// before the event loop does, and the input buffer limits what is read.
+    pub(crate) fn peer_status(&mut self) -> PeerStatus {
+        self.readable = true;
+        while self.has_unread_input() {
+            if self.input.free_bytes() == 0 {
+                return PeerStatus::Unknown;
+            }
+            self.read_once();
+        }
+        if self.read_closed { PeerStatus::Disconnected } else { PeerStatus::Connected }
+    }
+
+    fn read_once(&mut self) {
+        match self.input.fill(&mut &*self.stream) {
+            Ok(0) => self.read_closed = true,
+            Ok(read) => self.turn_quota.record_read(read),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => self.read_closed = true,
+        }
+    }
+
     /// Drops the input buffer and reads and drops further input, until at least `max` bytes have been dropped
     /// or nothing more may be read in this turn. Returns the number of dropped bytes, and whether no more
     /// input can be read.
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -80,6 +80,11 @@
         self.in_flight.ids.is_in_use(message, now)
     }
 
+    /// Returns whether a request may have run by an attempt other than the one that is about to begin.
+    pub(crate) fn may_have_run_before(&self, id: RequestId) -> bool {
+        self.in_flight.ids.may_have_run_before(id)
+    }
+
     /// Returns when [`Dispatcher::expire_overdue`] must next be called for a worker.
     pub(crate) fn next_deadline(&self, worker: WorkerId) -> Option<Micros> {
         self.in_flight.next_expiration(worker)
--- a/crates/proxy/src/dispatcher/request_ids.rs
+++ b/crates/proxy/src/dispatcher/request_ids.rs
@@ -110,6 +110,11 @@
         self.close_if_ended(id);
     }
 
+    /// Returns whether a request may have run by an attempt other than the one that is about to begin.
+    pub(super) fn may_have_run_before(&self, id: RequestId) -> bool {
+        self.open_requests.get(&id).is_some_and(|request| request.may_have_run || request.open_attempts > 1)
+    }
+
     fn close_if_ended(&mut self, id: RequestId) {
         let has_ended = |request: &OpenRequest| !request.awaiting_response && request.open_attempts == 0;
         if !self.open_requests.get(&id).is_some_and(has_ended) {
--- a/crates/proxy/src/dispatcher/request_ids/tests.rs
+++ b/crates/proxy/src/dispatcher/request_ids/tests.rs
@@ -62,3 +62,18 @@
     let retained = (0..10).filter(|number| in_use(&mut ids, &number.to_string())).count();
     assert_eq!(retained, MAX_RETAINED);
 }
+
+#[test]
+fn an_attempt_other_than_the_next_one_may_have_run() {
+    let mut ids = RequestIds::new(MAX_RETAINED);
+    ids.open(ID, &message("1"), false, DEADLINE);
+    ids.attempt_started(ID);
+    assert!(!ids.may_have_run_before(ID));
+    ids.attempt_ended(ID, Outcome::ConnectFailed);
+    ids.attempt_started(ID);
+    assert!(!ids.may_have_run_before(ID));
+    ids.attempt_started(ID);
+    assert!(ids.may_have_run_before(ID), "another attempt is open");
+    ids.attempt_ended(ID, Outcome::ConnectionLost);
+    assert!(ids.may_have_run_before(ID), "another attempt may have run");
+}
--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -17,7 +17,7 @@
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Socket, Type};
 
-use crate::connection::Connection;
+use crate::connection::{Connection, PeerStatus};
 use crate::readiness::{ConnId, ConnIds, Handle, Source, TurnInputs};
 use crate::upstream::MAX_BODY_BYTES;
 use client::{Client, ClientState, Progress};
@@ -192,6 +192,19 @@
         self.send_error_response(id, error.status(), &error.to_string(), now, events);
     }
 
+    /// Returns whether a client is still connected, as the system knows it now.
+    pub(crate) fn client_status(&mut self, id: ConnId) -> PeerStatus {
+        match self.clients.get_mut(&id) {
+            Some(client) => client.connection.peer_status(),
+            None => PeerStatus::Disconnected,
+        }
+    }
+
+    /// Closes the connection of a client that has disconnected, without reporting it.
+    pub(crate) fn close(&mut self, id: ConnId) {
+        self.clients.remove(&id);
+    }
+
     fn disconnect(&mut self, id: ConnId, events: &mut Vec<DownstreamEvent>) {
         if let Some(Client { state: ClientState::InFlight(request), .. }) = self.clients.remove(&id) {
             events.push(DownstreamEvent::Disconnected(request));
--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -4,7 +4,7 @@
 use garnetcrank_policy::api::{Micros, RequestId};
 
 use crate::clock::{MS, SECOND};
-use crate::connection::Connection;
+use crate::connection::{Connection, PeerStatus};
 use crate::upstream::MAX_BODY_BYTES;
 
 /// Time limit for a complete request, from its first byte, or from the accept for the first request of a
@@ -131,39 +131,47 @@
     }
 
     fn read(&mut self, output_drained: bool, now: Micros) -> Progress {
-        if self.state == ClientState::Reading && !self.connection.output.is_empty() {
-            // A client that does not read its response has to wait with its next request, so that it makes the proxy
-            // hold one response at a time.
-            return Progress::Waiting;
+        match self.state {
+            ClientState::Reading if !self.connection.output.is_empty() => {
+                // A client that does not read its response has to wait with its next request, so that it makes the
+                // proxy hold one response at a time.
+                Progress::Waiting
+            }
+            ClientState::Reading => self.read_next_request(now),
+            ClientState::InFlight(_) | ClientState::RequestRead | ClientState::Closing => {
+                self.watch_for_disconnect(output_drained)
+            }
+        }
+    }
+
+    /// Reads what the client sends behind its request, to learn whether it has disconnected. Pipelined input is not
+    /// parsed before the response has been written.
+    fn watch_for_disconnect(&mut self, output_drained: bool) -> Progress {
+        let input_reported = self.connection.has_unread_input();
+        if input_reported && self.connection.peer_status() == PeerStatus::Disconnected {
+            return Progress::Disconnected;
+        }
+        match self.state {
+            ClientState::InFlight(id) if output_drained && self.streaming => Progress::OutputDrained(id),
+            _ => Progress::Waiting,
         }
+    }
+
+    fn read_next_request(&mut self, now: Micros) -> Progress {
         loop {
             let mut ended = self.connection.fill();
             if self.is_new && self.accept_delayed {
                 // The close of a client that has given up may follow its request.
                 ended |= self.connection.fill();
             }
-            match self.state {
-                ClientState::InFlight(_) | ClientState::RequestRead if ended => {
-                    return Progress::Disconnected;
-                }
-                ClientState::InFlight(id) if output_drained && self.streaming => {
-                    return Progress::OutputDrained(id);
-                }
-                // Pipelined input is not parsed before the response has been written.
-                ClientState::InFlight(_) | ClientState::RequestRead | ClientState::Closing => {
-                    return Progress::Waiting;
-                }
+            if self.must_wait_for_next_turn() {
                 // The other connections come first. Otherwise a client whose requests are all answered at once
                 // would be the only one to be served for as long as it sends more.
-                ClientState::Reading if self.must_wait_for_next_turn() => {
-                    self.connection.turn_quota.defer();
-                    return Progress::Waiting;
-                }
-                ClientState::Reading => {
-                    if let Some(progress) = self.read_request(ended, now) {
-                        return progress;
-                    }
-                }
+                self.connection.turn_quota.defer();
+                return Progress::Waiting;
+            }
+            if let Some(progress) = self.read_request(ended, now) {
+                return progress;
             }
             if ended || !self.connection.can_read_more() {
                 return Progress::Waiting;
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -8,8 +8,9 @@
 use garnetcrank_policy::api::{Micros, RequestId};
 
 use super::client::{FIRST_REQUEST_TIMEOUT, LINGER_TIMEOUT, PARTIAL_SHED_AFTER, WRITE_TIMEOUT};
-use super::{BadRequest, Downstream, DownstreamEvent};
+use super::{BadRequest, Downstream, DownstreamEvent, INPUT_RING_BYTES};
 use crate::clock::SECOND;
+use crate::connection::PeerStatus;
 use crate::readiness::{ConnId, ConnIds, Handle, Source, TurnInputs};
 
 const NOW: Micros = 1_000 * SECOND;
@@ -288,3 +289,33 @@
     fixture.events.clear();
     assert_eq!((fixture.downstream.len(), fixture.handle.memory.bytes()), (0, 0), "{answered} responses");
 }
+
+#[test]
+fn a_disconnect_behind_pipelined_requests_is_known_without_a_report_of_the_event_loop() {
+    let mut fixture = Fixture::accepted();
+    fixture.send(&REQUEST.repeat(3));
+    let id = fixture.id();
+    assert!(fixture.downstream.mark_in_flight(id, RequestId(1)));
+    assert_eq!(fixture.downstream.client_status(id), PeerStatus::Connected);
+    fixture.client.write_all(REQUEST.repeat(100).as_bytes()).expect("sends");
+    fixture.client.shutdown(std::net::Shutdown::Write).expect("disconnects");
+    while fixture.downstream.client_status(id) == PeerStatus::Connected {
+        std::thread::yield_now();
+    }
+    assert_eq!(fixture.downstream.client_status(id), PeerStatus::Disconnected);
+}
+
+#[test]
+fn a_disconnect_behind_more_input_than_is_held_is_unknown() {
+    let mut fixture = Fixture::accepted();
+    fixture.send(REQUEST);
+    let id = fixture.id();
+    assert!(fixture.downstream.mark_in_flight(id, RequestId(1)));
+    fixture.client.write_all(&[b'x'; INPUT_RING_BYTES + 1]).expect("sends");
+    while fixture.downstream.client_status(id) == PeerStatus::Connected {
+        std::thread::yield_now();
+    }
+    assert_eq!(fixture.downstream.client_status(id), PeerStatus::Unknown);
+    let held = fixture.downstream.clients[&id].connection.input.len();
+    assert_eq!(held, INPUT_RING_BYTES);
+}
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod budgets;
+mod client_presence;
 mod commands;
 mod control_plane;
 mod downstream_events;
@@ -68,6 +69,7 @@
     downstream_events: Vec<DownstreamEvent>,
     upstream_events: Vec<UpstreamEvent>,
     bad_request_logged_at: Micros,
+    withheld_logged_at: Micros,
     exposure_cap: Option<ExposureCap>,
 }
 
@@ -166,7 +168,10 @@
             Source::Discovery(id) => self.on_discovery_ready(id, readiness, now),
             Source::ReleaseController(id) => self.on_release_controller_ready(id, readiness, now),
             Source::Agent(id) => self.on_agent_ready(id, readiness, now),
-            Source::Upstream(id) => self.upstream.on_ready(id, readiness, now, &mut self.upstream_events),
+            Source::Upstream(id) => {
+                self.cancel_unsent_without_client(id, now);
+                self.upstream.on_ready(id, readiness, now, &mut self.upstream_events);
+            }
             Source::Downstream(id) => {
                 self.downstream.on_ready(id, readiness, now, &mut self.downstream_events);
             }
--- a/crates/proxy/src/proxy/commands.rs
+++ b/crates/proxy/src/proxy/commands.rs
@@ -127,12 +127,13 @@
         self.downstream.send_response(client, status, no_headers, b"", now, &mut self.downstream_events);
     }
 
-    /// Sends a request to its endpoint, unless the decision is outdated or no connection is available. An
-    /// attempt that was not started is reported to the policy.
+    /// Sends a request to its endpoint, unless its client has disconnected, the decision is outdated or no
+    /// connection is available. An attempt that was not started is reported to the policy.
     fn start_attempt(&mut self, forward: &ForwardAttempt, now: Micros) {
         let ForwardAttempt { id, attempt, endpoint, deadline, stamp } = *forward;
-        let request = self.shared.dispatcher().get(id).map(|r| (Arc::clone(&r.message), r.class));
         // The client may have disconnected since the decision.
+        self.end_request_without_client(id, now);
+        let request = self.shared.dispatcher().get(id).map(|r| (Arc::clone(&r.message), r.class));
         let Some((message, class)) = request else {
             self.shared.dispatcher().on_attempt_not_started(id, attempt, Outcome::NotSent);
             return;
--- a/crates/proxy/src/proxy/startup.rs
+++ b/crates/proxy/src/proxy/startup.rs
@@ -127,6 +127,7 @@
             downstream_events: Vec::new(),
             upstream_events: Vec::new(),
             bad_request_logged_at: 0,
+            withheld_logged_at: 0,
             exposure_cap: None,
         }
     }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -28,11 +28,11 @@
 
 /// An attempt of a client's request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct AttemptKey {
+pub(crate) struct AttemptKey {
     /// The client's request.
-    request: RequestId,
+    pub(crate) request: RequestId,
     /// Number of the attempt, counted from 0.
-    attempt: usize,
+    pub(crate) attempt: usize,
 }
 
 /// All connections of a worker to endpoints, and the exchanges in progress on them.
@@ -255,6 +255,17 @@
         }
     }
 
+    /// Returns the attempt on a connection, if its request has not been sent completely.
+    pub(crate) fn unsent_attempt(&self, id: ConnId) -> Option<AttemptKey> {
+        let active = self.pool.get(id)?.active.as_ref()?;
+        match active.purpose {
+            Purpose::Attempt { id, attempt, .. } if !active.exchange.request_sent() => {
+                Some(AttemptKey { request: id, attempt })
+            }
+            _ => None,
+        }
+    }
+
     /// Cancels an attempt, unless its response is already being streamed. One whose request has not been sent
     /// completely ends as not sent: the endpoint can't have started it.
     pub(crate) fn cancel(
