A window's count of requests takes bounded memory at any rate

Cause: the policy's sliding windows held an entry of 16 bytes for each request of the span (6 s at most deployments), whatever their rate, and a deque keeps the capacity that it has once had.

Change: requests or attempts of one class within a 4,096th of the span share an entry. They expire together: those of the requests with the first of them, those of attempts at a build with the last, so the cap on exposure is kept with certainty.

At usual rates nearly every request still has an entry of its own.

--- a/crates/policy/src/build_health/build_record.rs
+++ b/crates/policy/src/build_health/build_record.rs
@@ -7,7 +7,7 @@
 use crate::api::{Build, ClassId, Micros, Outcome};
 use crate::engine::Policy;
 use crate::units::SECOND;
-use crate::window::SlidingWindow;
+use crate::window::{Expiry, SlidingWindow};
 
 /// Time for which a criterion must keep failing before the build fails; also the soak time after a start.
 pub(crate) const SUSTAINED_FAILURE_TIME: Micros = 3 * SECOND;
@@ -102,7 +102,7 @@
             cleared_at_stage: None,
             baseline_slowdown: 0.0,
             has_assessed_class: false,
-            attempts: SlidingWindow::new(exposure_span, class_count),
+            attempts: SlidingWindow::new(exposure_span, Expiry::Late, class_count),
             samples_by_class: vec![VecDeque::new(); class_count],
             samples: VecDeque::new(),
             failing_since: vec![None; Criterion::all(class_count).count()],
--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -4,7 +4,7 @@
 
 use crate::api::{Build, ClassId, Config, Idempotency, KeyId, Micros, RolloutStatus};
 use crate::engine::Policy;
-use crate::window::SlidingWindow;
+use crate::window::{Expiry, SlidingWindow};
 
 /// Counts and idempotency keys for limiting the exposure of builds on trial.
 pub(crate) struct Exposure {
@@ -22,7 +22,7 @@
         // lengthened by it, so that rounding never lets this instance exceed the cap.
         let span = config.rollout.exposure_window.saturating_sub(config.resolution);
         Exposure {
-            requests: SlidingWindow::new(span, config.classes.len()),
+            requests: SlidingWindow::new(span, Expiry::Early, config.classes.len()),
             reset_at: None,
             answered_keys: BTreeMap::new(),
         }
