Outcomes of requests with too little time say nothing of endpoints and load

Callers saw: while one client sent requests with a timeout of 1 ms at full speed, most requests of usual clients got a 503.

Cause: each such attempt ended as TimedOut, which counted as the endpoint's fault, as a late response in the concurrency limit and as a miss of its class. All endpoints were ejected, the limit fell to its minimum, and the class counted as mostly failing: one client's deadlines taught the policy that the fleet was overloaded.

Change: where a client gives under half of the class's latency objective, its attempts' time-outs, rejections, lost connections and successes (of which only the fastest are seen) are no evidence. Failed connections and errors still are.

--- a/crates/policy/src/attempt_outcome.rs
+++ b/crates/policy/src/attempt_outcome.rs
@@ -25,6 +25,17 @@
         self.attempt.slow_start_factor.is_none()
     }
 
+    /// Returns whether the outcome is evidence about the endpoint, its build and the load. If the client
+    /// gives little time, a time-out or a rejection is due to that, and only the fastest responses are seen.
+    ///
+    /// Guards against a client whose deadlines no endpoint can meet: its outcomes would have all endpoints
+    /// ejected and the requests of others rejected. The cost is that nothing is learnt where all clients are
+    /// like that.
+    fn is_evidence(&self) -> bool {
+        let depends_on_time = !matches!(self.outcome, Outcome::ConnectFailed | Outcome::Error);
+        !(self.attempt.has_short_deadline && depends_on_time)
+    }
+
     /// Returns how slow the attempt was (natural logarithm); none if the baseline is not known yet, or if the
     /// outcome says nothing about the endpoint's speed.
     fn slowdown(&self, over_baseline: &Slowdown) -> Option<f64> {
@@ -64,6 +75,10 @@
         }
         let on_trial = self.is_on_trial(attempt.build);
         let completed = CompletedAttempt { request, attempt, outcome, latency, record, on_trial };
+        self.bind_idempotency_key(&completed);
+        if !completed.is_evidence() {
+            return;
+        }
         self.record_served_load(&completed);
         self.record_latency_ratio(&completed);
         let over_baseline = self.compare_with_baselines(&completed);
@@ -80,7 +95,6 @@
             self.record_build_outcome(&completed, slowdown, comparable);
             self.record_fleet_test_sample(&completed, comparable);
         }
-        self.bind_idempotency_key(&completed);
     }
 
     fn record_served_load(&mut self, completed: &CompletedAttempt) {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -112,10 +112,23 @@
     }
 
     pub fn request_with_key(&mut self, class: ClassId, key: Option<KeyId>) -> (RequestId, Vec<Action>) {
+        self.request_with(class, key, 1_000 * MS)
+    }
+
+    pub fn request_with_timeout(&mut self, class: ClassId, timeout: Micros) -> (RequestId, Vec<Action>) {
+        self.request_with(class, None, timeout)
+    }
+
+    fn request_with(
+        &mut self,
+        class: ClassId,
+        key: Option<KeyId>,
+        timeout: Micros,
+    ) -> (RequestId, Vec<Action>) {
         let hint = Some(100 * MS);
         self.next_request += 1;
         let id = RequestId(self.next_request);
-        let deadline = self.now + 1_000 * MS;
+        let deadline = self.now + timeout;
         let request = Request { id, class, tenant: None, key, deadline, work_hint: hint, is_retry: false };
         (id, self.send(Event::Request(request)))
     }
--- /dev/null
+++ b/crates/policy/tests/short_deadlines.rs
@@ -0,0 +1,70 @@
+//! Requests whose clients give them too little time.
+
+mod common;
+
+use common::{Harness, MS, READ, count_unsuccessful_answers, forwarded_to, released_fleet};
+use garnetcrank_policy::api::{EndpointId, Micros, Outcome};
+
+/// Time that endpoints usually take.
+const USUAL_LATENCY: Micros = 50 * MS;
+
+/// Has a client send requests with a short deadline, all of which end with `outcome`, and another client send one in ten.
+/// Returns the endpoints of the other client's requests, and the number of these that were not served.
+fn run_beside_short_deadlines(harness: &mut Harness, outcome: Outcome) -> (Vec<EndpointId>, usize) {
+    let (mut targets, mut not_served) = (Vec::new(), 0);
+    for number in 0..2_000 {
+        let (id, actions) = harness.request_with_timeout(READ, MS);
+        harness.now += MS;
+        if forwarded_to(&actions).is_some() {
+            harness.complete(id, 0, outcome, MS);
+        }
+        if number % 25 == 0 {
+            harness.tick(0);
+        }
+        if number % 10 == 0 {
+            let (id, actions) = harness.request(READ);
+            not_served += count_unsuccessful_answers(&actions);
+            targets.extend(forwarded_to(&actions));
+            harness.complete(id, 0, Outcome::Success, USUAL_LATENCY);
+        }
+    }
+    (targets, not_served)
+}
+
+#[test]
+fn requests_that_can_not_be_answered_in_time_say_nothing_of_endpoints_and_load() {
+    for outcome in [Outcome::TimedOut, Outcome::Overloaded, Outcome::ConnectionLost] {
+        let mut harness = released_fleet();
+        let (targets, not_served) = run_beside_short_deadlines(&mut harness, outcome);
+        assert_eq!((targets.len(), not_served), (200, 0), "{outcome:?}");
+        for endpoint in 1..=6 {
+            let share = targets.iter().filter(|target| target.0 == endpoint).count();
+            assert!(share >= 15, "{share} of 200 at endpoint {endpoint}: {outcome:?}");
+        }
+        assert!(!harness.log.iter().any(|line| line.contains("ejected")), "{outcome:?}: {:?}", harness.log);
+    }
+}
+
+#[test]
+fn time_outs_of_requests_with_enough_time_are_evidence() {
+    let mut harness = released_fleet();
+    let mut rejected = 0;
+    for _ in 0..60 {
+        let (id, actions) = harness.request_with_timeout(READ, 200 * MS);
+        harness.now += 200 * MS;
+        rejected += count_unsuccessful_answers(&actions);
+        if forwarded_to(&actions).is_some() {
+            harness.complete(id, 0, Outcome::TimedOut, 200 * MS);
+        }
+    }
+    assert!(rejected >= 30, "{rejected} of 60 rejected, although the class mostly fails");
+}
+
+#[test]
+fn connections_that_fail_are_evidence_whatever_the_deadline() {
+    let mut harness = released_fleet();
+    let (id, actions) = harness.request_with_timeout(READ, MS);
+    assert!(forwarded_to(&actions).is_some());
+    harness.complete(id, 0, Outcome::ConnectFailed, MS);
+    assert!(harness.log.iter().any(|line| line.contains("ejected")), "{:?}", harness.log);
+}
