The gauge counts what header lines take beside their bytes

Cause: each name and each value of a header line has a block of its own, of 32 bytes at the least, and the gauge counted the bytes alone.

--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -17,6 +17,10 @@
     "expect",
 ];
 
+/// Smallest block that an allocator hands out, in bytes, with its own data about the block. Each name and each value
+/// takes one.
+const MIN_ALLOCATION_BYTES: usize = 32;
+
 /// Header lines in the order of the message. Names are compared case-insensitively.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Headers(Vec<(String, Vec<u8>)>);
@@ -28,7 +32,8 @@
 
     /// Returns the memory that the list of lines takes beside their bytes.
     pub(crate) fn list_bytes(&self) -> usize {
-        self.0.capacity() * size_of::<(String, Vec<u8>)>()
+        let line_bytes = 2 * MIN_ALLOCATION_BYTES;
+        self.0.capacity() * size_of::<(String, Vec<u8>)>() + self.0.len() * line_bytes
     }
 
     /// Iterates over all header lines.
