A request in flight gets its answer where its connection's memory is needed

Callers saw: connections closed without an answer to a request that had been read.

Cause: over the memory budget, with no incomplete request to reject, shed_largest closed the connection that held most, also one whose client waited for its response and had sent up to 32 KiB behind its request.

Change: such a request is failed with 502 and its connection closed behind the answer, as the attempt may have run; only a client that does not read a response which has begun is closed outright.

--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -22,6 +22,7 @@
 use crate::upstream::MAX_BODY_BYTES;
 use client::{Client, ClientState, Progress};
 pub(crate) use event::{BadRequest, DownstreamEvent};
+pub(crate) use eviction::LargestClient;
 
 /// Maximum number of connections that wait to be accepted. When another proxy restarts, all of its clients
 /// may connect here at the same time.
@@ -205,7 +206,8 @@
         self.clients.remove(&id);
     }
 
-    fn disconnect(&mut self, id: ConnId, events: &mut Vec<DownstreamEvent>) {
+    /// Closes a connection, and reports its request in flight.
+    pub(crate) fn disconnect(&mut self, id: ConnId, events: &mut Vec<DownstreamEvent>) {
         if let Some(Client { state: ClientState::InFlight(request), .. }) = self.clients.remove(&id) {
             events.push(DownstreamEvent::Disconnected(request));
         }
--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -255,6 +255,14 @@
         self.state == ClientState::Reading && (self.reader.is_partial() || !self.connection.input.is_empty())
     }
 
+    /// Returns the request in flight whose response has not begun.
+    pub(super) fn awaited_request(&self) -> Option<RequestId> {
+        match self.state {
+            ClientState::InFlight(request) if !self.streaming => Some(request),
+            _ => None,
+        }
+    }
+
     /// Returns the memory that the connection takes, in bytes.
     pub(super) fn memory_bytes(&self) -> usize {
         self.connection.buffer_bytes() + self.reader.memory_bytes()
--- a/crates/proxy/src/downstream/eviction.rs
+++ b/crates/proxy/src/downstream/eviction.rs
@@ -1,11 +1,22 @@
 //! Connections that are closed, and incomplete requests that are rejected, because their descriptors or memory are needed.
 
-use garnetcrank_policy::api::Micros;
+use garnetcrank_policy::api::{Micros, RequestId};
 
 use super::client::Client;
 use super::{BadRequest, Downstream, DownstreamEvent};
 use crate::readiness::ConnId;
 
+/// The client's connection that takes the most memory.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LargestClient {
+    /// The connection.
+    pub(crate) id: ConnId,
+    /// Its memory, in bytes.
+    pub(crate) bytes: usize,
+    /// The request whose response has not begun.
+    pub(crate) awaited_request: Option<RequestId>,
+}
+
 impl Downstream {
     /// Closes the connections that are between requests and have no unread input. A new connection is kept
     /// for [`FIRST_REQUEST_TIMEOUT`](super::client::FIRST_REQUEST_TIMEOUT), as its first request may be on the way.
@@ -81,17 +92,12 @@
         );
     }
 
-    /// Returns the memory of the connection that takes the most, in bytes.
-    pub(crate) fn largest_bytes(&self) -> usize {
-        self.clients.values().map(Client::memory_bytes).max().unwrap_or(0)
-    }
-
-    /// Closes the connection that takes the most memory.
-    pub(crate) fn close_largest(&mut self, events: &mut Vec<DownstreamEvent>) {
+    /// Returns the connection that takes the most memory.
+    pub(crate) fn largest_client(&self) -> Option<LargestClient> {
         let sizes = self.clients.iter().map(|(id, client)| (client.memory_bytes(), *id));
-        if let Some((_, id)) = sizes.max() {
-            self.disconnect(id, events);
-        }
+        let (bytes, id) = sizes.max()?;
+        let awaited_request = self.clients.get(&id).and_then(Client::awaited_request);
+        Some(LargestClient { id, bytes, awaited_request })
     }
 
     /// Releases the memory of all buffers that are empty.
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -285,7 +285,9 @@
     let read_before = fixture.events.len();
     fixture.next_turn();
     assert_eq!(fixture.events.len(), read_before, "a request was read behind an unread response");
-    fixture.downstream.close_largest(&mut fixture.events);
+    let largest = fixture.downstream.largest_client().expect("one client is connected");
+    assert_eq!((largest.id, largest.awaited_request), (id, None), "its response has been written");
+    fixture.downstream.disconnect(id, &mut fixture.events);
     fixture.events.clear();
     assert_eq!((fixture.downstream.len(), fixture.handle.memory.bytes()), (0, 0), "{answered} responses");
 }
--- a/crates/proxy/src/proxy/memory.rs
+++ b/crates/proxy/src/proxy/memory.rs
@@ -4,6 +4,7 @@
 use garnetcrank_policy::api::Micros;
 
 use super::Proxy;
+use crate::downstream::LargestClient;
 
 /// Connections that hold less are not closed to free memory. Those of usual clients hold less.
 const MIN_SHED_BYTES: usize = 4 * 1024;
@@ -28,24 +29,38 @@
         self.handle.memory.bytes() > self.budgets.buffer_bytes
     }
 
-    /// Rejects the largest incomplete request, for which nothing has been done yet. If there is none, closes the
-    /// connection to a client or an endpoint that holds most. Returns false if none holds [`MIN_SHED_BYTES`].
+    /// Rejects the largest incomplete request, for which nothing has been done yet. If there is none, ends the exchange
+    /// with an endpoint or the client's request that holds most. Returns false if none holds [`MIN_SHED_BYTES`].
     fn shed_largest(&mut self, now: Micros) -> bool {
         let events = &mut self.downstream_events;
         if self.downstream.shed_largest_partial_request(MIN_SHED_BYTES, now, events) {
             return true;
         }
-        let client_bytes = self.downstream.largest_bytes();
+        let client = self.downstream.largest_client();
+        let client_bytes = client.map_or(0, |client| client.bytes);
         let upstream_bytes = self.upstream.largest_bytes();
         if client_bytes.max(upstream_bytes) < MIN_SHED_BYTES {
             return false;
         }
-        if client_bytes >= upstream_bytes {
-            self.counters.clients_evicted += 1;
-            self.downstream.close_largest(events);
-        } else {
-            self.upstream.end_largest_exchange(now, &mut self.upstream_events);
+        match client {
+            Some(client) if client_bytes >= upstream_bytes => self.shed_client(client, now),
+            _ => self.upstream.end_largest_exchange(now, &mut self.upstream_events),
         }
         true
     }
+
+    /// Fails the request of a client that awaits its response, and closes the connection. A client that has a response
+    /// that it does not read gets nothing more.
+    fn shed_client(&mut self, client: LargestClient, now: Micros) {
+        self.counters.clients_evicted += 1;
+        let events = &mut self.downstream_events;
+        match client.awaited_request {
+            Some(request) => {
+                self.shared.dispatcher().on_disconnect(request);
+                let reason = "the memory of its connection was needed";
+                self.downstream.send_error_response(client.id, 502, reason, now, events);
+            }
+            None => self.downstream.disconnect(client.id, events),
+        }
+    }
 }
--- a/crates/proxy/tests/proxy/memory.rs
+++ b/crates/proxy/tests/proxy/memory.rs
@@ -1,7 +1,9 @@
 //! What clients make the proxy hold stays within its memory limit.
 
+use std::time::Duration;
+
 use garnetcrank_test_support::load_generator::anonymous_memory_kib;
-use garnetcrank_test_support::scripted_servers::{RunningProxy, ScriptedEndpoint, request};
+use garnetcrank_test_support::scripted_servers::{EndpointBehavior, RunningProxy, ScriptedEndpoint, request};
 
 use crate::common::{proxy_setup, respond_ok};
 
@@ -60,3 +62,31 @@
         format!("{head}{}", chunk.repeat(MAX_BODY_BYTES / 0x1000))
     });
 }
+
+/// Guards against connections that are closed without a response, as what lies behind their requests takes memory.
+#[test]
+fn requests_in_flight_are_answered_although_much_is_sent_behind_them() {
+    let endpoint = ScriptedEndpoint::start(EndpointBehavior::WaitForRelease);
+    let (_discovery, _controller, mut setup) = proxy_setup(&[endpoint.address]);
+    setup.memory_mb = MEMORY_LIMIT_MIB;
+    let proxy = RunningProxy::start(&setup);
+    let behind: String = (0..LARGE_CLIENTS).map(|_| request("GET", "/look", 9000, "")).collect();
+    let mut clients = Vec::new();
+    for _ in 0..LARGE_CLIENTS {
+        let mut client = proxy.client();
+        client.send(&request("POST", "/pay", 9000, "x"));
+        clients.push(client);
+    }
+    for client in &mut clients {
+        client.send_without_waiting(&behind);
+        assert_within_limit(&proxy);
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    endpoint.set_behavior(respond_ok("yes"));
+    endpoint.release();
+    for client in &mut clients {
+        let response = client.read().expect("a response to the first request");
+        assert!([200, 502, 503].contains(&response.status()), "{response:?}");
+        assert_within_limit(&proxy);
+    }
+}
