Attempts of requests with too little time have a budget

Cause: no quota on attempts that can't succeed.

Change: policy/short_deadline.rs has a budget of attempts at requests with under half of the latency objective: one for eight that are served and ten a second, up to ten; beyond it they are rejected at once. Requests of that kind that are served take nothing from it.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -173,9 +173,13 @@
 impl Policy {
     /// Returns whether to admit a request.
     ///
-    /// Few requests of a mostly failing class or tenant are admitted. Under overload the limit sheds classes
-    /// of lower priority and tenants above their share first.
+    /// Requests with too little time are limited to their budget, and few of a mostly failing class or tenant
+    /// are admitted. Under overload the limit sheds classes of lower priority and tenants above their share
+    /// first.
     pub(crate) fn admits(&mut self, request: &Request) -> bool {
+        if !self.deadline_allows_attempt(request) {
+            return false;
+        }
         let mostly_failing = self.traffic.is_mostly_failing(request.class, request.tenant);
         if mostly_failing && self.rng.f64() > MOSTLY_FAILING_ADMITTED_RATIO {
             return false;
--- a/crates/policy/src/attempt_outcome.rs
+++ b/crates/policy/src/attempt_outcome.rs
@@ -73,6 +73,7 @@
         if matches!(outcome, Outcome::Cancelled | Outcome::NotSent) {
             return;
         }
+        self.record_short_deadline_outcome(outcome, attempt.has_short_deadline);
         let on_trial = self.is_on_trial(attempt.build);
         let completed = CompletedAttempt { request, attempt, outcome, latency, record, on_trial };
         self.bind_idempotency_key(&completed);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::retry::RetryBudget;
 use crate::rollout_state::RolloutState;
 use crate::rollout_vote::VoteState;
+use crate::short_deadline::ShortDeadlineBudget;
 use crate::slow_start::ServedLoads;
 use crate::units::MILLISECOND;
 
@@ -43,6 +44,7 @@
     pub(crate) votes: VoteState,
     pub(crate) requests: BTreeMap<RequestId, InFlightRequest>,
     pub(crate) retry_budget: RetryBudget,
+    pub(crate) short_deadline_budget: ShortDeadlineBudget,
     pub(crate) concurrency: ConcurrencyLimit,
     pub(crate) traffic: TrafficByGroup,
     pub(crate) latency: LatencyEstimates,
@@ -68,6 +70,7 @@
             votes: VoteState::new(),
             requests: BTreeMap::new(),
             retry_budget: RetryBudget::new(),
+            short_deadline_budget: ShortDeadlineBudget::new(),
             concurrency: ConcurrencyLimit::new(),
             traffic: TrafficByGroup::new(config.classes.len(), config.tenants.len()),
             latency: LatencyEstimates::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod retry;
 mod rollout_state;
 mod rollout_vote;
+mod short_deadline;
 mod slow_start;
 mod units;
 mod window;
--- a/crates/policy/src/request_lifecycle.rs
+++ b/crates/policy/src/request_lifecycle.rs
@@ -10,9 +10,6 @@
 /// Fraction of the latency objective after which a rejected client should retry, on average; an answer to the
 /// retry must still be useful.
 const RETRY_AFTER_FRACTION: f64 = 0.2;
-/// Fraction of the latency objective below which a client's time is too short to tell a slow endpoint from a
-/// usual one.
-const SHORT_DEADLINE_FRACTION: f64 = 0.5;
 
 /// One attempt at a request.
 pub(crate) struct Attempt {
@@ -70,12 +67,6 @@
         self.attempts.iter().any(|attempt| attempt.endpoint == endpoint)
     }
 
-    /// Returns whether the client gives less time than [`SHORT_DEADLINE_FRACTION`] of the latency objective.
-    fn has_short_deadline(&self, latency_objective: Micros) -> bool {
-        let time = self.request.deadline.saturating_sub(self.arrived);
-        (time as f64) < latency_objective as f64 * SHORT_DEADLINE_FRACTION
-    }
-
     fn may_have_run(&self) -> bool {
         self.attempts.iter().any(Attempt::may_have_run)
     }
@@ -181,14 +172,14 @@
             endpoint.in_flight += 1;
         }
         let now = self.now;
-        let objective = self.config.classes[in_flight.request.class.0].latency_objective;
+        let has_short_deadline = self.has_short_deadline(&in_flight.request, in_flight.arrived);
         self.build_record(record.build).attempts.add(now, in_flight.request.class);
         in_flight.attempts.push(Attempt {
             endpoint: id,
             build: record.build,
             sent_at: now,
             slow_start_factor: self.slow_start_factor(&record),
-            has_short_deadline: in_flight.has_short_deadline(objective),
+            has_short_deadline,
             counted_overdue: false,
             outcome: None,
         });
--- a/crates/policy/tests/short_deadlines.rs
+++ b/crates/policy/tests/short_deadlines.rs
@@ -60,6 +60,49 @@
     assert!(rejected >= 30, "{rejected} of 60 rejected, although the class mostly fails");
 }
 
+/// Sends requests with a short deadline, `interval` apart, and ends their attempts with `outcome`. Returns the number of
+/// attempts.
+fn run_short_deadlines(harness: &mut Harness, requests: usize, interval: Micros, outcome: Outcome) -> usize {
+    let mut attempts = 0;
+    for _ in 0..requests {
+        let (id, actions) = harness.request_with_timeout(READ, 100 * MS);
+        harness.now += interval;
+        if forwarded_to(&actions).is_some() {
+            attempts += 1;
+            harness.complete(id, 0, outcome, 100 * MS);
+        }
+    }
+    attempts
+}
+
+/// Guards against connections to endpoints that are made and closed for a client whose requests can't be answered.
+#[test]
+fn attempts_of_requests_with_too_little_time_are_few_beside_served_ones() {
+    let mut harness = released_fleet();
+    let served = run_short_deadlines(&mut harness, 200, 0, Outcome::Success);
+    assert_eq!(served, 200, "requests that are served are not limited");
+    assert_eq!(run_short_deadlines(&mut harness, 200, 0, Outcome::TimedOut), 10);
+    let in_a_second = run_short_deadlines(&mut harness, 1_000, MS, Outcome::TimedOut);
+    assert!((9..=10).contains(&in_a_second), "{in_a_second}");
+    for _ in 0..8 {
+        harness.serve(READ, |_| Outcome::Success);
+    }
+    assert_eq!(
+        run_short_deadlines(&mut harness, 200, 0, Outcome::TimedOut),
+        1,
+        "one for eight that were served"
+    );
+}
+
+/// Guards against rejecting all requests for good where all clients give little time.
+#[test]
+fn requests_with_little_time_are_served_again_after_a_fault() {
+    let mut harness = released_fleet();
+    run_short_deadlines(&mut harness, 200, 0, Outcome::TimedOut);
+    harness.tick(1_000);
+    assert_eq!(run_short_deadlines(&mut harness, 200, MS, Outcome::Success), 200);
+}
+
 #[test]
 fn connections_that_fail_are_evidence_whatever_the_deadline() {
     let mut harness = released_fleet();
