The test of the short deadlines' budget allows for what time refills

Forty served requests now have to allow five or six attempts; the range is what one in eight and the time that passes give.

--- a/crates/policy/tests/short_deadlines.rs
+++ b/crates/policy/tests/short_deadlines.rs
@@ -84,14 +84,11 @@
     assert_eq!(run_short_deadlines(&mut harness, 200, 0, Outcome::TimedOut), 10);
     let in_a_second = run_short_deadlines(&mut harness, 1_000, MS, Outcome::TimedOut);
     assert!((9..=10).contains(&in_a_second), "{in_a_second}");
-    for _ in 0..8 {
+    for _ in 0..40 {
         harness.serve(READ, |_| Outcome::Success);
     }
-    assert_eq!(
-        run_short_deadlines(&mut harness, 200, 0, Outcome::TimedOut),
-        1,
-        "one for eight that were served"
-    );
+    let beside_served = run_short_deadlines(&mut harness, 200, 0, Outcome::TimedOut);
+    assert!((5..=6).contains(&beside_served), "{beside_served}, one for eight that were served");
 }
 
 /// Guards against rejecting all requests for good where all clients give little time.
