Runs under faults drawn from a seed, judged by what clients and endpoints saw

Each run has clients that leave with something unread behind their requests, orders sent again, endpoints that reject late, fail, close or stall, a crowd that stops near the end of large requests, requests with next to no time, series of signals, and SIGTERM with clients that use what is open until the earliest kill. Judged from outside: an answer to each request in time, no attempt over 0.15 s after its client left, no order run twice or refused after it ran, the memory limit (32 MB), the exit.

--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod memory;
 mod rollout;
+mod seeded_faults;
 mod short_deadlines;
 mod shutdown;
 mod streaming;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod faulty_disk;
 pub mod linearizability;
 pub mod load_generator;
+pub mod recording_endpoint;
 pub mod scripted_servers;
 pub mod virtual_fleet;
