Failed accepts are told apart: a shutdown does not drop those who wait

Cause, by reading: accept returned false for want of descriptors or memory (EMFILE, ENFILE, ENOBUFS, ENOMEM) and for network errors of one connection (accept(2): EHOSTUNREACH, ENETUNREACH, EINTR, ...) alike. At shutdown either ended the emptying of the backlog, and the socket was closed with clients in it.

Change: AcceptOutcome says which.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -16,7 +16,7 @@
 /// Size of the buffer for reading input that is dropped, in bytes.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
-/// What is known of a connection's peer.
+/// Status of a connection's peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PeerStatus {
     /// It is connected, and all that it has sent has been read.
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -136,8 +136,8 @@
     peak_buffer_bytes: "peak_buffer_bytes",
     /// Connections deferred to the next turn because they had used up their quota of one.
     connection_deferrals: "deferred",
-    /// Attempts that did not begin because the client had disconnected, or had sent so much behind its request that
-    /// this could not be known.
+    /// Attempts that did not begin because the client had disconnected, or had sent more behind its
+    /// request than the input buffer holds.
     attempts_withheld: "withheld",
 }
 
--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -15,6 +15,7 @@
 use garnetcrank_http::MessageError;
 use garnetcrank_policy::api::{Micros, RequestId};
 use rustc_hash::FxHashMap;
+use rustix::io::Errno;
 use socket2::{Domain, Socket, Type};
 
 use crate::connection::{Connection, PeerStatus};
@@ -33,6 +34,19 @@
 /// response that a slow client has not taken yet.
 const OUTPUT_RING_BYTES: usize = 2 * MAX_BODY_BYTES + 64 * 1024;
 
+/// Result of accepting a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AcceptOutcome {
+    /// A client was accepted.
+    Accepted,
+    /// No client is waiting.
+    NoneWaiting,
+    /// The system has no descriptor or memory for a client. Those that wait keep waiting.
+    NoResources,
+    /// The call was interrupted, or the network failed the connection of one client. Others may be waiting.
+    Failed,
+}
+
 /// The listening socket and its registration with the event loop.
 struct Listener {
     socket: TcpListener,
@@ -118,12 +132,11 @@
         self.clients.len()
     }
 
-    /// Accepts one client. Returns whether another may be waiting; if none is,
-    /// [`Downstream::accept_pending`] is reset.
-    pub(crate) fn accept(&mut self, ids: &mut ConnIds, now: Micros) -> bool {
+    /// Accepts one client. If none is waiting, [`Downstream::accept_pending`] is reset.
+    pub(crate) fn accept(&mut self, ids: &mut ConnIds, now: Micros) -> AcceptOutcome {
         let Some(listener) = &self.listener else {
             self.accept_pending = false;
-            return false;
+            return AcceptOutcome::NoneWaiting;
         };
         match listener.socket.accept() {
             Ok((stream, _)) => {
@@ -135,17 +148,20 @@
                 if let Ok(connection) = adopted {
                     self.clients.insert(id, Client::new(connection, self.accept_delayed, now));
                 }
-                true
+                AcceptOutcome::Accepted
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                 self.accept_pending = false;
                 self.accept_delayed = false;
-                false
+                AcceptOutcome::NoneWaiting
             }
-            // After an aborted connection others may be waiting. Any other error, such as a lack of
-            // descriptors, ends the attempt but leaves `accept_pending` set, so that accepting is retried
-            // later.
-            Err(error) => error.kind() == io::ErrorKind::ConnectionAborted,
+            // `accept_pending` stays set, so that accepting is tried again later.
+            Err(error) => match Errno::from_io_error(&error) {
+                Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
+                    AcceptOutcome::NoResources
+                }
+                _ => AcceptOutcome::Failed,
+            },
         }
     }
 
--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -8,7 +8,7 @@
 use garnetcrank_policy::api::{Micros, RequestId};
 
 use super::client::{FIRST_REQUEST_TIMEOUT, LINGER_TIMEOUT, PARTIAL_SHED_AFTER, WRITE_TIMEOUT};
-use super::{BadRequest, Downstream, DownstreamEvent, INPUT_RING_BYTES};
+use super::{AcceptOutcome, BadRequest, Downstream, DownstreamEvent, INPUT_RING_BYTES};
 use crate::clock::SECOND;
 use crate::connection::PeerStatus;
 use crate::readiness::{ConnId, ConnIds, Handle, Source, TurnInputs};
@@ -54,7 +54,7 @@
     /// Accepts the waiting client.
     fn accepted() -> Fixture {
         let mut fixture = Fixture::new();
-        while fixture.downstream.accept(&mut fixture.ids, NOW) {}
+        while fixture.downstream.accept(&mut fixture.ids, NOW) != AcceptOutcome::NoneWaiting {}
         assert_eq!(fixture.downstream.len(), 1, "the waiting client is accepted");
         fixture
     }
@@ -247,7 +247,7 @@
     fixture.client.write_all(REQUEST.as_bytes()).expect("sends");
     fixture.client.shutdown(std::net::Shutdown::Both).expect("disconnects");
     fixture.downstream.accept_delayed = true;
-    while fixture.downstream.accept(&mut fixture.ids, NOW) {}
+    while fixture.downstream.accept(&mut fixture.ids, NOW) != AcceptOutcome::NoneWaiting {}
     let readiness = Readiness { readable: true, writable: true, error: false };
     fixture.downstream.on_ready(fixture.id(), readiness, NOW, &mut fixture.events);
     assert!(fixture.events.is_empty(), "{:?}", fixture.events);
--- a/crates/proxy/src/proxy/accept.rs
+++ b/crates/proxy/src/proxy/accept.rs
@@ -3,7 +3,7 @@
 use garnetcrank_policy::api::Micros;
 
 use super::Proxy;
-use crate::downstream::LISTEN_BACKLOG;
+use crate::downstream::{AcceptOutcome, LISTEN_BACKLOG};
 
 /// Maximum number of clients accepted per turn, so that connected clients are not delayed.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
@@ -32,26 +32,30 @@
                 self.counters.accepts_paused += 1;
                 return;
             }
-            self.accept_client(now);
+            if self.accept_client(now) == AcceptOutcome::NoResources {
+                return;
+            }
         }
     }
 
     /// Accepts all waiting clients regardless of the budget: their connections are already established in the
-    /// listen backlog. Those that connect meanwhile may exceed its length and are not accepted.
-    pub(super) fn accept_backlog(&mut self, now: Micros) {
+    /// listen backlog. Those that connect meanwhile may exceed its length and are not accepted. Returns false if clients
+    /// are left for which the system has no resources now.
+    pub(super) fn accept_backlog(&mut self, now: Micros) -> bool {
         for _ in 0..=LISTEN_BACKLOG {
-            if !self.accept_client(now) {
-                return;
+            match self.accept_client(now) {
+                AcceptOutcome::Accepted | AcceptOutcome::Failed => {}
+                AcceptOutcome::NoneWaiting => return true,
+                AcceptOutcome::NoResources => return false,
             }
         }
+        true
     }
 
-    fn accept_client(&mut self, now: Micros) -> bool {
-        let accepted = self.downstream.accept(&mut self.conn_ids, now);
-        if accepted {
-            self.counters.client_connections += 1;
-        }
-        accepted
+    fn accept_client(&mut self, now: Micros) -> AcceptOutcome {
+        let outcome = self.downstream.accept(&mut self.conn_ids, now);
+        self.counters.client_connections += u64::from(outcome == AcceptOutcome::Accepted);
+        outcome
     }
 
     /// Returns whether this worker accepts the next client: all workers are notified of it, and one with the
--- a/crates/proxy/src/proxy/sweep.rs
+++ b/crates/proxy/src/proxy/sweep.rs
@@ -85,8 +85,10 @@
         let stage = self.shared.stage();
         self.downstream.close_after_response = stage >= LifecycleStage::Draining;
         if stage >= LifecycleStage::NotAccepting && self.downstream.is_listening() {
-            self.accept_backlog(now);
-            self.downstream.stop_listening();
+            // Closing the socket would reset the connections of clients that still wait.
+            if self.accept_backlog(now) {
+                self.downstream.stop_listening();
+            }
         }
         if stage >= LifecycleStage::ClosingIdle {
             self.downstream.close_idle(now);
