Attempts with a short deadline that are never sent count against their budget, too

Callers would see connections to endpoints made and closed at full speed: where an endpoint's connection takes longer than a client's time, each attempt ends as not sent, and where the client leaves, as cancelled.

Cause: the budget was charged behind the return for outcomes that say nothing of an endpoint, so these two never were.

Change: it is charged for every end of an attempt that is not a success.

Evidence: attempts_that_are_never_sent_or_cancelled_count_against_the_budget had 200 attempts of 200 before, 10 to 12 now.

--- a/crates/policy/src/attempt_outcome.rs
+++ b/crates/policy/src/attempt_outcome.rs
@@ -67,13 +67,13 @@
         latency: Micros,
     ) {
         self.concurrency.release();
+        self.short_deadline_budget.record(outcome, attempt.has_short_deadline);
         let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) else { return };
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         let record = endpoint.record;
         if matches!(outcome, Outcome::Cancelled | Outcome::NotSent) {
             return;
         }
-        self.record_short_deadline_outcome(outcome, attempt.has_short_deadline);
         let on_trial = self.is_on_trial(attempt.build);
         let completed = CompletedAttempt { request, attempt, outcome, latency, record, on_trial };
         self.bind_idempotency_key(&completed);
--- a/crates/policy/src/short_deadline.rs
+++ b/crates/policy/src/short_deadline.rs
@@ -30,7 +30,9 @@
         ShortDeadlineBudget { attempts: MAX_BUDGET, refilled_at: 0 }
     }
 
-    fn record(&mut self, outcome: Outcome, has_short_deadline: bool) {
+    /// Records the end of any attempt. One with a short deadline that is not served has cost a connection,
+    /// whether or not that was established in time.
+    pub(crate) fn record(&mut self, outcome: Outcome, has_short_deadline: bool) {
         if outcome == Outcome::Success {
             self.add(WASTED_ATTEMPTS_PER_SERVED);
         } else if has_short_deadline {
@@ -63,9 +65,4 @@
     pub(crate) fn deadline_allows_attempt(&mut self, request: &Request) -> bool {
         !self.has_short_deadline(request, self.now) || self.short_deadline_budget.allows_attempt(self.now)
     }
-
-    /// Adds the outcome of an attempt to the budget of those with short deadlines.
-    pub(crate) fn record_short_deadline_outcome(&mut self, outcome: Outcome, has_short_deadline: bool) {
-        self.short_deadline_budget.record(outcome, has_short_deadline);
-    }
 }
--- a/crates/policy/tests/short_deadlines.rs
+++ b/crates/policy/tests/short_deadlines.rs
@@ -91,6 +91,24 @@
     assert!((5..=6).contains(&beside_served), "{beside_served}, one for eight that were served");
 }
 
+/// Guards against a client whose attempts all end before their connection is established.
+#[test]
+fn attempts_that_are_never_sent_or_cancelled_count_against_the_budget() {
+    for outcome in [Outcome::NotSent, Outcome::Cancelled, Outcome::ConnectFailed] {
+        let mut harness = released_fleet();
+        let mut attempts = 0;
+        for _ in 0..200 {
+            let (id, actions) = harness.request_with_timeout(READ, MS);
+            harness.now += MS;
+            if forwarded_to(&actions).is_some() {
+                attempts += 1;
+                harness.complete(id, 0, outcome, MS);
+            }
+        }
+        assert!((10..=12).contains(&attempts), "{attempts} attempts of 200: {outcome:?}");
+    }
+}
+
 /// Guards against rejecting all requests for good where all clients give little time.
 #[test]
 fn requests_with_little_time_are_served_again_after_a_fault() {
