One token bucket for the budgets of retries and of short deadlines

The two budgets wrote the same arithmetic twice; both now hold a TokenBucket. The sliding window loses defaults that nothing used, and span_start says what an entry's expiry depends on. Decisions and assertions are as before; the policy's and the adapter's tests pass.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod rollout_vote;
 mod short_deadline;
 mod slow_start;
+mod token_bucket;
 mod units;
 mod window;
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -3,6 +3,7 @@
 use crate::api::{EndpointRecord, Idempotency, KeyScope, Micros};
 use crate::engine::Policy;
 use crate::request_lifecycle::{Attempt, InFlightRequest};
+use crate::token_bucket::TokenBucket;
 use crate::units::MILLISECOND;
 
 /// Retries added to the budget per request, so that a retry storm adds at most a fifth to the traffic.
@@ -13,25 +14,23 @@
 const TRANSIT_MARGIN: Micros = 100 * MILLISECOND;
 
 /// Retry budget: a token bucket filled by requests.
-pub(crate) struct RetryBudget {
-    retries: f64,
-}
+pub(crate) struct RetryBudget(TokenBucket);
 
 impl RetryBudget {
     pub(crate) fn new() -> Self {
-        RetryBudget { retries: MAX_BUDGET }
+        RetryBudget(TokenBucket::full(MAX_BUDGET))
     }
 
     pub(crate) fn deposit(&mut self) {
-        self.retries = (self.retries + RETRIES_PER_REQUEST).min(MAX_BUDGET);
+        self.0.deposit(RETRIES_PER_REQUEST);
     }
 
     pub(crate) fn allows_retry(&self) -> bool {
-        self.retries >= 1.0
+        self.0.has_token()
     }
 
     pub(crate) fn withdraw(&mut self) {
-        self.retries -= 1.0;
+        self.0.withdraw();
     }
 }
 
--- a/crates/policy/src/short_deadline.rs
+++ b/crates/policy/src/short_deadline.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Micros, Outcome, Request};
 use crate::engine::Policy;
+use crate::token_bucket::TokenBucket;
 use crate::units::SECOND;
 
 /// Fraction of the latency objective below which a client's time is too short to tell a slow endpoint from a
@@ -21,34 +22,30 @@
 /// connection to an endpoint, which is closed at the deadline. The cost is that, after many of them, requests
 /// with short deadlines are rejected that would have been served.
 pub(crate) struct ShortDeadlineBudget {
-    attempts: f64,
+    bucket: TokenBucket,
     refilled_at: Micros,
 }
 
 impl ShortDeadlineBudget {
     pub(crate) fn new() -> Self {
-        ShortDeadlineBudget { attempts: MAX_BUDGET, refilled_at: 0 }
+        ShortDeadlineBudget { bucket: TokenBucket::full(MAX_BUDGET), refilled_at: 0 }
     }
 
     /// Records the end of any attempt. One with a short deadline that is not served has cost a connection,
     /// whether or not that was established in time.
     pub(crate) fn record(&mut self, outcome: Outcome, has_short_deadline: bool) {
         if outcome == Outcome::Success {
-            self.add(WASTED_ATTEMPTS_PER_SERVED);
+            self.bucket.deposit(WASTED_ATTEMPTS_PER_SERVED);
         } else if has_short_deadline {
-            self.attempts = (self.attempts - 1.0).max(0.0);
+            self.bucket.withdraw();
         }
     }
 
     fn allows_attempt(&mut self, now: Micros) -> bool {
         let seconds = now.saturating_sub(self.refilled_at) as f64 / SECOND as f64;
         self.refilled_at = now;
-        self.add(WASTED_ATTEMPTS_PER_SECOND * seconds);
-        self.attempts >= 1.0
-    }
-
-    fn add(&mut self, attempts: f64) {
-        self.attempts = (self.attempts + attempts).min(MAX_BUDGET);
+        self.bucket.deposit(WASTED_ATTEMPTS_PER_SECOND * seconds);
+        self.bucket.has_token()
     }
 }
 
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -9,10 +9,9 @@
 const MAX_ENTRIES: u64 = 4_096;
 
 /// When requests or attempts that are counted together expire.
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Clone, Copy)]
 pub(crate) enum Expiry {
     /// With the first of them, so that the window never counts too many.
-    #[default]
     Early,
     /// With the last of them, so that the window never counts too few.
     Late,
@@ -26,7 +25,8 @@
 }
 
 impl Entry {
-    fn counts_from(&self, expiry: Expiry) -> Micros {
+    /// Returns the time at which the span of the entry begins.
+    fn span_start(&self, expiry: Expiry) -> Micros {
         match expiry {
             Expiry::Early => self.first_at,
             Expiry::Late => self.last_at,
@@ -44,7 +44,6 @@
 /// Requests or attempts within the last `span`, counted by class.
 ///
 /// Expired entries are dropped whenever one is added and whenever entries are counted.
-#[derive(Default)]
 pub(crate) struct SlidingWindow {
     span: Micros,
     expiry: Expiry,
@@ -88,7 +87,7 @@
         let (span, expiry) = (self.span, self.expiry);
         for class in &mut self.classes {
             while let Some(expired) =
-                class.entries.pop_front_if(|entry| entry.counts_from(expiry) + span < now)
+                class.entries.pop_front_if(|entry| entry.span_start(expiry) + span < now)
             {
                 class.count -= expired.count;
             }
