An attempt that ended as it began takes nothing from the short deadlines' budget

Callers would see requests with short deadlines rejected because other clients had left: their attempts were never begun.

Change: the budget is charged only for an attempt that took time.

--- a/crates/policy/src/attempt_outcome.rs
+++ b/crates/policy/src/attempt_outcome.rs
@@ -67,7 +67,7 @@
         latency: Micros,
     ) {
         self.concurrency.release();
-        self.short_deadline_budget.record(outcome, attempt.has_short_deadline);
+        self.short_deadline_budget.record(outcome, attempt.has_short_deadline, latency);
         let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) else { return };
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         let record = endpoint.record;
--- a/crates/policy/src/short_deadline.rs
+++ b/crates/policy/src/short_deadline.rs
@@ -32,11 +32,11 @@
     }
 
     /// Records the end of any attempt. One with a short deadline that is not served has cost a connection,
-    /// whether or not that was established in time.
-    pub(crate) fn record(&mut self, outcome: Outcome, has_short_deadline: bool) {
+    /// whether or not that was established in time, unless the attempt ended as it began.
+    pub(crate) fn record(&mut self, outcome: Outcome, has_short_deadline: bool, latency: Micros) {
         if outcome == Outcome::Success {
             self.bucket.deposit(WASTED_ATTEMPTS_PER_SERVED);
-        } else if has_short_deadline {
+        } else if has_short_deadline && latency > 0 {
             self.bucket.withdraw();
         }
     }
