Review of the proxy's change: one limit for recurring lines, one close, no flag

Two fields and constants each limited a log line to one a second (LineInterval does); close and abort_response both removed a client; the dispatcher looked a request up twice to begin an attempt (begin_attempt does it once); a flag stood for the policy's Idempotency; hashes were hashed again. The doc comments of the peer's status and of the reads in a turn say what they left out.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -23,12 +23,13 @@
     Connected,
     /// It has closed its sending direction, or the connection is lost.
     Disconnected,
-    /// It has sent more than the input buffer holds. A close can't be seen before the rest has been read.
+    /// It has sent more than the input buffer holds, or still sends. A close can't be seen before the rest has been
+    /// read.
     Unknown,
 }
 
-/// Maximum number of reads in which a peer's status is found out. Two or three fill the input buffer if its peer has sent
-/// that much, so more are needed only while a peer sends byte by byte.
+/// Maximum number of reads to determine the status of a peer. A few fill the input buffer, unless the peer sends byte by
+/// byte.
 const MAX_STATUS_READS: usize = 32;
 
 /// A TCP connection with its input and output buffers. It is registered once with the event loop,
@@ -138,9 +139,8 @@
         self.read_closed
     }
 
-    /// Reads all that has arrived, as far as the input buffer has space, and returns whether the peer is still
-    /// there. Neither a report of the event loop nor the quota of the turn is waited for: the system knows of a close
-    /// before the event loop does. A peer that sends faster than it is read can't be known to have stopped.
+    /// Reads what has arrived, as far as the input buffer has space, and returns the status of the peer. It asks the
+    /// system, which knows of a close before the event loop reports it, also if the quota of the turn is used up.
     pub(crate) fn peer_status(&mut self) -> PeerStatus {
         self.readable = true;
         for _ in 0..MAX_STATUS_READS {
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -13,7 +13,7 @@
 use garnetcrank_http::{Headers, Request as Message, Response};
 use garnetcrank_policy::Policy;
 use garnetcrank_policy::api::{
-    Action, AttemptResult, Config, EndpointId, Event, Idempotency, Micros, Outcome, Request, RequestId,
+    Action, AttemptResult, Config, EndpointId, Event, Micros, Outcome, Request, RequestId,
 };
 use garnetcrank_settings::Settings;
 use garnetcrank_shared_policy::DecisionStamp;
@@ -116,8 +116,8 @@
         let Classification { class, tenant, timeout, work_hint, is_retry } = classification;
         let own_deadline = now + timeout;
         let deadline = self.shutdown_deadline.map_or(own_deadline, |latest| latest.min(own_deadline));
-        let is_idempotent = self.config.classes[class.0].idempotency == Idempotency::Idempotent;
-        let id = self.in_flight.insert(client, message, class, is_idempotent, deadline);
+        let idempotency = self.config.classes[class.0].idempotency;
+        let id = self.in_flight.insert(client, message, class, idempotency, deadline);
         let request = Request { id, class, tenant, key: None, deadline, work_hint, is_retry };
         self.events.push_back(Event::Request(request));
         id
@@ -264,10 +264,7 @@
         endpoint: EndpointId,
         timeout: Option<Micros>,
     ) -> Option<Command> {
-        let request = self.in_flight.get_mut(id)?;
-        let attempt = request.attempt_count;
-        request.attempt_count += 1;
-        self.in_flight.ids.attempt_started(id);
+        let attempt = self.in_flight.begin_attempt(id)?;
         let request = self.in_flight.get(id)?;
         let streamed = self.config.classes[request.class.0].streamed;
         let deadline = timeout.map_or(request.deadline, |timeout| request.deadline.min(now + timeout));
--- a/crates/proxy/src/dispatcher/in_flight.rs
+++ b/crates/proxy/src/dispatcher/in_flight.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use garnetcrank_http::Request as Message;
-use garnetcrank_policy::api::{ClassId, Micros, RequestId};
+use garnetcrank_policy::api::{ClassId, Idempotency, Micros, RequestId};
 use rustc_hash::FxHashMap;
 
 use crate::clock::MS;
@@ -27,7 +27,7 @@
     /// Deadline for the final response.
     pub(super) deadline: Micros,
     /// Number of attempts that the policy has requested.
-    pub(super) attempt_count: usize,
+    attempt_count: usize,
     /// Whether the final response is still due. Once it is not, the record stays until the policy has handled
     /// the event that ends the request, since the policy may still refer to it until then.
     pub(super) awaiting_response: bool,
@@ -110,14 +110,14 @@
         client: ConnId,
         message: Message,
         class: ClassId,
-        is_idempotent: bool,
+        idempotency: Idempotency,
         deadline: Micros,
     ) -> RequestId {
         let id = self.allocate_id(client.worker());
         self.awaiting_count += 1;
         self.awaiting_count_by_worker[client.worker().0] += 1;
         self.memory_bytes += message.memory.bytes();
-        self.ids.open(id, &message, is_idempotent, deadline);
+        self.ids.open(id, &message, idempotency, deadline);
         self.expirations.insert(Expiration::new(id, deadline));
         let request = InFlightRequest {
             client,
@@ -147,6 +147,16 @@
         id
     }
 
+    /// Numbers the next attempt of a request and records that it is open. Returns none if the request is not in the
+    /// table.
+    pub(super) fn begin_attempt(&mut self, id: RequestId) -> Option<usize> {
+        let request = self.requests.get_mut(&id)?;
+        let attempt = request.attempt_count;
+        request.attempt_count += 1;
+        self.ids.attempt_started(id);
+        Some(attempt)
+    }
+
     /// Marks a request as completed: its final response has been given, or its client has disconnected.
     /// Returns the client, or none if the request was completed before. The record stays until
     /// [`InFlightTable::remove`].
--- a/crates/proxy/src/dispatcher/request_ids.rs
+++ b/crates/proxy/src/dispatcher/request_ids.rs
@@ -4,12 +4,12 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::hash::{BuildHasher, RandomState};
 
 use garnetcrank_http::Request as Message;
-use garnetcrank_policy::api::{Micros, Outcome, RequestId};
-use rustc_hash::FxHashMap;
+use garnetcrank_policy::api::{Idempotency, Micros, Outcome, RequestId};
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::clock::SECOND;
 
@@ -32,8 +32,7 @@
 struct OpenRequest {
     fingerprint: Fingerprint,
     deadline: Micros,
-    /// Whether the request may run any number of times.
-    is_idempotent: bool,
+    idempotency: Idempotency,
     awaiting_response: bool,
     open_attempts: u32,
     /// Whether an attempt that has ended may have run.
@@ -44,18 +43,18 @@
 #[derive(Debug)]
 pub(super) struct RequestIds {
     hash_builder: RandomState,
-    in_use: HashSet<Fingerprint>,
+    in_use: FxHashSet<Fingerprint>,
     open_requests: FxHashMap<RequestId, OpenRequest>,
     retained: BTreeSet<RetainedId>,
     max_retained: usize,
 }
 
 impl RequestIds {
-    /// Creates an empty set that retains up to `max_retained` ids of requests that have ended.
+    /// Creates an empty set. It retains up to `max_retained` ids of requests that have ended.
     pub(super) fn new(max_retained: usize) -> Self {
         RequestIds {
             hash_builder: RandomState::new(),
-            in_use: HashSet::new(),
+            in_use: FxHashSet::default(),
             open_requests: FxHashMap::default(),
             retained: BTreeSet::new(),
             max_retained,
@@ -74,13 +73,19 @@
     }
 
     /// Records a request that has been accepted.
-    pub(super) fn open(&mut self, id: RequestId, message: &Message, is_idempotent: bool, deadline: Micros) {
+    pub(super) fn open(
+        &mut self,
+        id: RequestId,
+        message: &Message,
+        idempotency: Idempotency,
+        deadline: Micros,
+    ) {
         let fingerprint = self.fingerprint(message);
         self.in_use.insert(fingerprint);
         let request = OpenRequest {
             fingerprint,
             deadline,
-            is_idempotent,
+            idempotency,
             awaiting_response: true,
             open_attempts: 0,
             may_have_run: false,
@@ -121,7 +126,7 @@
             return;
         }
         let Some(request) = self.open_requests.remove(&id) else { return };
-        if request.may_have_run && !request.is_idempotent {
+        if request.may_have_run && request.idempotency != Idempotency::Idempotent {
             self.retain(RetainedId { until: request.deadline + RETENTION, fingerprint: request.fingerprint });
         } else {
             self.in_use.remove(&request.fingerprint);
--- a/crates/proxy/src/dispatcher/request_ids/tests.rs
+++ b/crates/proxy/src/dispatcher/request_ids/tests.rs
@@ -19,8 +19,8 @@
 }
 
 /// Opens a request and ends an attempt of it, after its client has disconnected.
-fn end_request(ids: &mut RequestIds, request_id: &str, is_idempotent: bool, outcome: Outcome) {
-    ids.open(ID, &message(request_id), is_idempotent, DEADLINE);
+fn end_request(ids: &mut RequestIds, request_id: &str, idempotency: Idempotency, outcome: Outcome) {
+    ids.open(ID, &message(request_id), idempotency, DEADLINE);
     ids.attempt_started(ID);
     ids.response_ended(ID);
     assert!(ids.is_in_use(&message(request_id), DEADLINE), "an attempt is open");
@@ -31,31 +31,31 @@
 #[test]
 fn an_id_is_in_use_while_an_attempt_is_open_and_for_a_while_if_it_may_have_run() {
     let mut ids = RequestIds::new(MAX_RETAINED);
-    for (is_idempotent, outcome, is_retained) in [
-        (true, Outcome::Cancelled, false),
-        (false, Outcome::NotSent, false),
-        (false, Outcome::Overloaded, false),
-        (false, Outcome::Cancelled, true),
-        (false, Outcome::Success, true),
+    for (idempotency, outcome, is_retained) in [
+        (Idempotency::Idempotent, Outcome::Cancelled, false),
+        (Idempotency::NonIdempotent, Outcome::NotSent, false),
+        (Idempotency::NonIdempotent, Outcome::Overloaded, false),
+        (Idempotency::NonIdempotent, Outcome::Cancelled, true),
+        (Idempotency::NonIdempotent, Outcome::Success, true),
     ] {
-        let request_id = format!("{is_idempotent}-{outcome:?}");
-        end_request(&mut ids, &request_id, is_idempotent, outcome);
+        let request_id = format!("{idempotency:?}-{outcome:?}");
+        end_request(&mut ids, &request_id, idempotency, outcome);
         assert_eq!(
             ids.is_in_use(&message(&request_id), DEADLINE + RETENTION - 1),
             is_retained,
             "{request_id}"
         );
     }
-    assert!(!ids.is_in_use(&message("false-Success"), DEADLINE + RETENTION));
+    assert!(!ids.is_in_use(&message("NonIdempotent-Success"), DEADLINE + RETENTION));
     assert!(ids.is_empty());
 }
 
 #[test]
 fn ids_of_open_requests_are_in_use_however_many_are_retained() {
     let mut ids = RequestIds::new(MAX_RETAINED);
-    ids.open(RequestId(0), &message("open"), false, DEADLINE);
+    ids.open(RequestId(0), &message("open"), Idempotency::NonIdempotent, DEADLINE);
     for number in 0..10 {
-        end_request(&mut ids, &number.to_string(), false, Outcome::TimedOut);
+        end_request(&mut ids, &number.to_string(), Idempotency::NonIdempotent, Outcome::TimedOut);
     }
     let in_use = |ids: &mut RequestIds, request_id: &str| ids.is_in_use(&message(request_id), DEADLINE);
     assert!(in_use(&mut ids, "open"));
@@ -66,7 +66,7 @@
 #[test]
 fn an_attempt_other_than_the_next_one_may_have_run() {
     let mut ids = RequestIds::new(MAX_RETAINED);
-    ids.open(ID, &message("1"), false, DEADLINE);
+    ids.open(ID, &message("1"), Idempotency::NonIdempotent, DEADLINE);
     ids.attempt_started(ID);
     assert!(!ids.may_have_run_before(ID));
     ids.attempt_ended(ID, Outcome::ConnectFailed);
--- a/crates/proxy/src/downstream.rs
+++ b/crates/proxy/src/downstream.rs
@@ -217,7 +217,8 @@
         }
     }
 
-    /// Closes the connection of a client that has disconnected, without reporting it.
+    /// Closes a connection without reporting its request in flight. A response that has begun lacks its last chunk then,
+    /// which shows the client that it is incomplete.
     pub(crate) fn close(&mut self, id: ConnId) {
         self.clients.remove(&id);
     }
--- a/crates/proxy/src/downstream/responses.rs
+++ b/crates/proxy/src/downstream/responses.rs
@@ -96,15 +96,10 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.keep_alive &= !is_last;
         if client.connection.output.push(b"0\r\n\r\n").is_err() {
-            return self.abort_response(id);
+            return self.close(id);
         }
         client.streaming = false;
         client.on_response_written(now);
         self.advance(id, now, events);
     }
-
-    /// Closes the connection without the last chunk, which shows the client that the response is incomplete.
-    pub(crate) fn abort_response(&mut self, id: ConnId) {
-        self.clients.remove(&id);
-    }
 }
--- a/crates/proxy/src/logging.rs
+++ b/crates/proxy/src/logging.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+use garnetcrank_policy::api::Micros;
 use tracing::{Event, Level, Metadata};
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::fmt::time::uptime;
@@ -13,12 +14,17 @@
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{Layer, Registry};
 
+use crate::clock::SECOND;
+
 /// Sustained rate of log lines per second, which a person can still follow.
 const LINES_PER_SECOND: f64 = 20.0;
 /// Burst of log lines that may pass at once, such as those at the start or at a rollout stage with many
 /// endpoints.
 const BURST_LINES: f64 = 200.0;
 
+/// Minimum interval between two log lines of a kind that recurs with requests.
+const RECURRING_LINE_INTERVAL: Micros = SECOND;
+
 /// Token bucket for log lines, which keeps an unexpected flood of warnings from filling a disk.
 struct RateLimit {
     bucket: Mutex<TokenBucket>,
@@ -64,6 +70,23 @@
     }
 }
 
+/// Limit on log lines of one kind, of which one passes in each interval.
+#[derive(Debug, Default)]
+pub(crate) struct LineInterval {
+    next_at: Micros,
+}
+
+impl LineInterval {
+    /// Returns whether a line may be logged now. If so, the next one has to wait.
+    pub(crate) fn may_log(&mut self, now: Micros) -> bool {
+        if now < self.next_at {
+            return false;
+        }
+        self.next_at = now + RECURRING_LINE_INTERVAL;
+        true
+    }
+}
+
 /// Installs the logger of this process. May be called only once.
 pub(crate) fn start() {
     let lines = tracing_subscriber::fmt::layer()
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -28,6 +28,7 @@
 use crate::dispatcher::Command;
 use crate::downstream::{Downstream, DownstreamEvent};
 use crate::lifecycle::LifecycleStage;
+use crate::logging::LineInterval;
 use crate::readiness::{ConnIds, Handle, SignalAction, Source, TurnInputs};
 use crate::upstream::{Upstream, UpstreamEvent};
 use crate::worker_id::WorkerId;
@@ -68,8 +69,8 @@
     commands: Vec<Command>,
     downstream_events: Vec<DownstreamEvent>,
     upstream_events: Vec<UpstreamEvent>,
-    bad_request_logged_at: Micros,
-    withheld_logged_at: Micros,
+    bad_request_lines: LineInterval,
+    withheld_attempt_lines: LineInterval,
     exposure_cap: Option<ExposureCap>,
 }
 
--- a/crates/proxy/src/proxy/client_presence.rs
+++ b/crates/proxy/src/proxy/client_presence.rs
@@ -5,13 +5,9 @@
 use tracing::warn;
 
 use super::Proxy;
-use crate::clock::SECOND;
 use crate::connection::PeerStatus;
 use crate::readiness::ConnId;
 
-/// Minimum interval between log lines about withheld attempts.
-const LOG_INTERVAL: Micros = SECOND;
-
 impl Proxy {
     /// Ends a request of which an attempt is about to begin, if its client has disconnected or may have without this
     /// being visible. Afterwards, the dispatcher has the request in flight only if the attempt may begin.
@@ -57,11 +53,9 @@
 
     fn log_withheld_attempt(&mut self, id: RequestId, reason: &str, now: Micros) {
         self.counters.attempts_withheld += 1;
-        if now < self.withheld_logged_at + LOG_INTERVAL {
-            return;
+        if self.withheld_attempt_lines.may_log(now) {
+            let total = self.counters.attempts_withheld;
+            warn!(total, request = id.0, reason, "attempt withheld");
         }
-        self.withheld_logged_at = now;
-        let total = self.counters.attempts_withheld;
-        warn!(total, request = id.0, reason, "attempt withheld");
     }
 }
--- a/crates/proxy/src/proxy/commands.rs
+++ b/crates/proxy/src/proxy/commands.rs
@@ -86,7 +86,7 @@
             }
             Command::AbortResponse { client } => {
                 self.counters.failed += 1;
-                self.downstream.abort_response(client);
+                self.downstream.close(client);
             }
             Command::SetTimer { at, token } => self.timers.set(at, TimerTask::Policy(token)),
             Command::HealthCheck(endpoint) => self.start_health_check(endpoint, now),
--- a/crates/proxy/src/proxy/downstream_events.rs
+++ b/crates/proxy/src/proxy/downstream_events.rs
@@ -6,13 +6,10 @@
 
 use super::Proxy;
 use crate::classify::{Classification, classify};
-use crate::clock::SECOND;
 use crate::downstream::{BadRequest, DownstreamEvent};
 use crate::lifecycle::LifecycleStage;
 use crate::readiness::ConnId;
 
-/// Minimum interval between log lines about bad requests.
-const BAD_REQUEST_LOG_INTERVAL: Micros = SECOND;
 /// Path of the proxy's own health check.
 const HEALTH_PATH: &str = "/healthz";
 
@@ -124,11 +121,9 @@
 
     fn on_bad_request(&mut self, bad_request: BadRequest, now: Micros) {
         self.count_bad_request(bad_request);
-        if now < self.bad_request_logged_at + BAD_REQUEST_LOG_INTERVAL {
-            return;
+        if self.bad_request_lines.may_log(now) {
+            warn!(total = self.counters.bad_requests, last = %bad_request, "bad requests");
         }
-        self.bad_request_logged_at = now;
-        warn!(total = self.counters.bad_requests, last = %bad_request, "bad requests");
     }
 
     fn count_bad_request(&mut self, bad_request: BadRequest) {
--- a/crates/proxy/src/proxy/startup.rs
+++ b/crates/proxy/src/proxy/startup.rs
@@ -20,6 +20,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::downstream::Downstream;
 use crate::feature_settings::FeatureSettings;
+use crate::logging::LineInterval;
 use crate::process_settings::ProcessSettings;
 use crate::readiness::{ConnIds, Handle};
 use crate::upstream::Upstream;
@@ -126,8 +127,8 @@
             commands: Vec::new(),
             downstream_events: Vec::new(),
             upstream_events: Vec::new(),
-            bad_request_logged_at: 0,
-            withheld_logged_at: 0,
+            bad_request_lines: LineInterval::default(),
+            withheld_attempt_lines: LineInterval::default(),
             exposure_cap: None,
         }
     }
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -14,8 +14,8 @@
 /// Number of bytes after which a connection reads no more in a turn. The largest message fits, with its head.
 pub(crate) const MAX_READ_BYTES_PER_TURN: usize = 96 * 1024;
 
-/// Number of reads after which a connection reads no more in a turn, however few bytes each has brought: the unread part of
-/// a message is parsed again after each. [`MAX_READ_BYTES_PER_TURN`] take fewer.
+/// Number of reads after which a connection reads no more in a turn, however few bytes each has returned: an incomplete
+/// head is parsed again after each read.
 const MAX_READS_PER_TURN: usize = 8;
 
 /// The current turn of a worker's event loop, shared with all of its connections.
