The line on a withheld attempt names the request by its client's id

It had the proxy's own number of the request, which stands nowhere else, so a line could not be matched with the clients' or the servers' records. Now it has the Request-Id, up to 64 characters and escaped; a test expects it.

--- a/crates/proxy/src/proxy/client_presence.rs
+++ b/crates/proxy/src/proxy/client_presence.rs
@@ -1,6 +1,9 @@
 //! Makes sure that a client still waits for its response before an attempt begins: no attempt may begin for a client that
 //! has disconnected.
 
+use std::sync::Arc;
+
+use garnetcrank_http::Request;
 use garnetcrank_policy::api::{Micros, RequestId};
 use tracing::warn;
 
@@ -8,12 +11,14 @@
 use crate::connection::PeerStatus;
 use crate::readiness::ConnId;
 
+/// Maximum length of a `Request-Id` in the log, in characters.
+const MAX_LOGGED_ID_CHARS: usize = 64;
+
 impl Proxy {
     /// Ends a request of which an attempt is about to begin, if its client has disconnected or may have without this
     /// being visible. Afterwards, the dispatcher has the request in flight only if the attempt may begin.
     pub(super) fn end_request_without_client(&mut self, id: RequestId, now: Micros) {
-        let client = self.shared.dispatcher().get(id).map(|request| request.client);
-        let Some(client) = client else { return };
+        let Some(client) = self.shared.dispatcher().get(id).map(|request| request.client) else { return };
         match self.downstream.client_status(client) {
             PeerStatus::Connected => {}
             PeerStatus::Disconnected => {
@@ -55,7 +60,20 @@
         self.counters.attempts_withheld += 1;
         if self.withheld_attempt_lines.may_log(now) {
             let total = self.counters.attempts_withheld;
-            warn!(total, request = id.0, reason, "attempt withheld");
+            let message = self.shared.dispatcher().get(id).map(|request| Arc::clone(&request.message));
+            let request_id = message.as_deref().map(logged_request_id);
+            warn!(total, request_id, reason, "attempt withheld");
         }
     }
 }
+
+/// Returns the start of a request's `Request-Id`, with control characters escaped.
+fn logged_request_id(request: &Request) -> String {
+    let id = request.headers.values("request-id").next().unwrap_or_default();
+    String::from_utf8_lossy(id)
+        .trim()
+        .chars()
+        .take(MAX_LOGGED_ID_CHARS)
+        .flat_map(char::escape_default)
+        .collect()
+}
--- a/crates/proxy/tests/proxy/disconnects.rs
+++ b/crates/proxy/tests/proxy/disconnects.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use garnetcrank_test_support::scripted_servers::{
-    EndpointBehavior, RunningProxy, ScriptedEndpoint, TestClient, request, wait_until,
+    EndpointBehavior, RunningProxy, ScriptedEndpoint, TestClient, request, request_id, wait_until,
 };
 
 use socket2::{Domain, Socket, Type};
@@ -113,7 +113,8 @@
     setup.settings["limits"]["connectTimeout"] = 9_000.0.into();
     let proxy = RunningProxy::start(&setup);
     let mut client = proxy.client();
-    client.send(&request("GET", "/look", 9000, ""));
+    let waiting_request = request("GET", "/look", 9000, "");
+    client.send(&waiting_request);
     let behind: String = (0..30_000).map(|_| request("GET", "/look", 9000, "")).collect();
     client.send_without_waiting(&behind);
     std::thread::sleep(DISCONNECT_GRACE);
@@ -121,6 +122,9 @@
     drop(fillers);
     let received = receive_bytes(&listener, CONNECT_RETRY_TIME);
     assert!(received.is_empty(), "{}", String::from_utf8_lossy(&received));
+    let expected = format!("request_id=\"{}\"", request_id(&waiting_request));
+    let log = proxy.log();
+    assert!(log.lines().any(|line| line.contains("attempt withheld") && line.contains(&expected)), "{log}");
 }
 
 #[test]
--- a/crates/test-support/src/scripted_servers.rs
+++ b/crates/test-support/src/scripted_servers.rs
@@ -13,7 +13,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-pub use client::{TestClient, request};
+pub use client::{TestClient, request, request_id};
 pub use documents::{endpoint_json, endpoint_list_json, rollout_event_json, rollout_state_json};
 pub use endpoint::{EndpointBehavior, ScriptedEndpoint};
 pub use message::{ReceivedMessage, read_message};
--- a/crates/test-support/src/scripted_servers/client.rs
+++ b/crates/test-support/src/scripted_servers/client.rs
@@ -20,6 +20,15 @@
     )
 }
 
+/// Returns the id of a request that [`request`] has formatted.
+///
+/// # Panics
+/// When the text has none.
+pub fn request_id(text: &str) -> &str {
+    let mut ids = text.lines().filter_map(|line| line.strip_prefix("Request-Id: "));
+    ids.next().expect("a request has an id")
+}
+
 /// A client's connection.
 pub struct TestClient {
     reader: BufReader<TcpStream>,
