--- a/crates/proxy/tests/proxy/disconnects.rs
+++ b/crates/proxy/tests/proxy/disconnects.rs
@@ -1,15 +1,13 @@
 //! Clients that disconnect before they have their response.
 
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::{Duration, Instant};
+use std::net::TcpStream;
+use std::time::Duration;
 
+use garnetcrank_test_support::full_backlog::FullBacklog;
 use garnetcrank_test_support::scripted_servers::{
     EndpointBehavior, RunningProxy, ScriptedEndpoint, TestClient, request, request_id, wait_until,
 };
 
-use socket2::{Domain, Socket, Type};
-
 use crate::common::{proxy_setup, respond_ok};
 
 /// Longer than the time after a client's disconnect in which an attempt may still begin.
@@ -63,53 +61,13 @@
     }
 }
 
-/// Number of connections that fill the backlog of a listener of length 0.
-const BACKLOG_FILLERS: usize = 2;
 /// Longer than the system takes to try a connection again that a full backlog has dropped.
 const CONNECT_RETRY_TIME: Duration = Duration::from_millis(2_500);
 
-/// Returns a listener whose backlog is full, so that further connections come up only once it accepts.
-fn listener_with_full_backlog() -> (TcpListener, Vec<TcpStream>) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is created");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a loopback port is free");
-    socket.listen(0).expect("the socket listens");
-    let listener: TcpListener = socket.into();
-    let address = listener.local_addr().expect("the listener has an address");
-    let connect = |_| {
-        let filler = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is created");
-        filler.set_nonblocking(true).expect("the mode is set");
-        // The connection is under way afterwards, or waits for the backlog.
-        let _ = filler.connect(&address.into());
-        filler.into()
-    };
-    let fillers = (0..BACKLOG_FILLERS).map(connect).collect();
-    (listener, fillers)
-}
-
-/// Accepts connections for a while and returns the bytes that arrive on them.
-fn receive_bytes(listener: &TcpListener, duration: Duration) -> Vec<u8> {
-    listener.set_nonblocking(true).expect("the mode is set");
-    let until = Instant::now() + duration;
-    let (mut streams, mut received, mut buffer) = (Vec::new(), Vec::new(), [0; 4096]);
-    while Instant::now() < until {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(true).expect("the mode is set");
-            streams.push(stream);
-        }
-        for stream in &mut streams {
-            let read = stream.read(&mut buffer).unwrap_or(0);
-            received.extend_from_slice(&buffer[..read]);
-        }
-        std::thread::sleep(Duration::from_millis(5));
-    }
-    received
-}
-
 #[test]
 fn an_attempt_that_waits_for_its_connection_is_not_sent_once_its_client_left() {
-    let (listener, fillers) = listener_with_full_backlog();
-    let address = listener.local_addr().expect("the listener has an address");
-    let (_discovery, _controller, mut setup) = proxy_setup(&[address]);
+    let endpoint = FullBacklog::start();
+    let (_discovery, _controller, mut setup) = proxy_setup(&[endpoint.address]);
     setup.settings["limits"]["connectTimeout"] = 9_000.0.into();
     let proxy = RunningProxy::start(&setup);
     let mut client = proxy.client();
@@ -119,8 +77,7 @@
     client.send_without_waiting(&behind);
     std::thread::sleep(DISCONNECT_GRACE);
     drop(client);
-    drop(fillers);
-    let received = receive_bytes(&listener, CONNECT_RETRY_TIME);
+    let received = endpoint.accept_and_receive(CONNECT_RETRY_TIME);
     assert!(received.is_empty(), "{}", String::from_utf8_lossy(&received));
     let expected = format!("request_id=\"{}\"", request_id(&waiting_request));
     let log = proxy.log();
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod agent_cluster;
 pub mod fault_relay;
+pub mod fault_run;
 pub mod faulty_disk;
+pub mod full_backlog;
 pub mod linearizability;
 pub mod load_generator;
 pub mod recording_endpoint;
--- a/crates/test-support/src/recording_endpoint.rs
+++ b/crates/test-support/src/recording_endpoint.rs
@@ -7,7 +7,7 @@
 
 use crate::scripted_servers::read_message;
 
-/// An attempt that reached an endpoint whole.
+/// An attempt whose complete request reached an endpoint.
 #[derive(Debug, Clone)]
 pub struct Arrival {
     /// The request's `Request-Id`.
--- a/crates/test-support/src/scripted_servers/endpoint.rs
+++ b/crates/test-support/src/scripted_servers/endpoint.rs
@@ -123,12 +123,7 @@
                 response_bytes(503, "Not-Started: 1\r\n", b"")
             }
             EndpointBehavior::Stream { chunks, complete } => {
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                for chunk in chunks {
-                    wait_for_release();
-                    let _ = stream.write_all(format!("{:x}\r\n{chunk}\r\n", chunk.len()).as_bytes());
-                }
-                wait_for_release();
+                stream_chunks(&mut stream, &chunks, &mut wait_for_release);
                 if !complete {
                     return;
                 }
@@ -140,3 +135,13 @@
         }
     }
 }
+
+/// Sends the head of a streamed response and its chunks, each after a release. Returns after one more release.
+fn stream_chunks(stream: &mut TcpStream, chunks: &[&str], wait_for_release: &mut impl FnMut()) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for chunk in chunks {
+        wait_for_release();
+        let _ = stream.write_all(format!("{:x}\r\n{chunk}\r\n", chunk.len()).as_bytes());
+    }
+    wait_for_release();
+}
