A signal in the last moment of a shutdown no longer kills the process

Nothing had been lost; the exit looks like a crash to whoever started the process.

Cause: dropping the event loop drops calloop's signal source, which gives SIGHUP, SIGUSR1, SIGTERM and SIGINT their default actions back. One that came between that and the exit killed the process.

Change: the event loop is forgotten, not dropped, when the workers have ended; the signals stay blocked until the exit.

--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -83,6 +83,9 @@
         let _ = thread.join();
     }
     proxy.log_counters();
+    // Dropping the loop would give the signals their default actions back, and one that comes before the exit would kill
+    // the process.
+    std::mem::forget(event_loop);
     Ok(())
 }
 
--- a/crates/proxy/tests/proxy/shutdown.rs
+++ b/crates/proxy/tests/proxy/shutdown.rs
@@ -139,3 +139,15 @@
     let second = RunningProxy::start(&setup);
     assert_eq!(second.client().get().status(), 200);
 }
+
+#[test]
+fn signals_in_the_last_moment_of_a_shutdown_do_not_kill_the_process() {
+    for _ in 0..5 {
+        let (_discovery, _controller, setup) = proxy_setup(&[]);
+        let mut proxy = RunningProxy::start(&setup);
+        proxy.signal("TERM");
+        proxy.signal_without_pause(Duration::from_secs(1));
+        let status = proxy.wait_for_exit();
+        assert!(status.success(), "{status}");
+    }
+}
--- a/crates/test-support/src/scripted_servers/running_proxy.rs
+++ b/crates/test-support/src/scripted_servers/running_proxy.rs
@@ -5,11 +5,17 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
 
 use super::client::TestClient;
 use super::setup::{ProxySetup, write_config_file};
 use super::{lock, wait_until};
 
+/// Interval between signals that are sent without a pause; short, as the last moment of an exit is to be met.
+const SIGNAL_INTERVAL: Duration = Duration::from_micros(200);
+
 /// Returns the path of the proxy's executable, in the parent of the folder of the running test, bench or
 /// example.
 ///
@@ -125,6 +131,18 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Sends SIGHUP and SIGUSR1 in turn for a while, without a pause to speak of, also after the process has exited.
+    pub fn signal_without_pause(&self, duration: Duration) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("a process id");
+        let until = Instant::now() + duration;
+        while Instant::now() < until {
+            for signal in [Signal::HUP, Signal::USR1] {
+                kill_process(id, signal).expect("the process has not been waited for");
+            }
+            std::thread::sleep(SIGNAL_INTERVAL);
+        }
+    }
+
     /// Waits until the proxy exits.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
