Review case 6: an agent that isn't heard accepts verdicts that are never cast

Cause: an agent answers that a verdict is accepted as long as it knows a leader. A follower that hears the leader and is not heard by it knows one, abandons its proposals and never tells its front, which takes its verdicts for counted and doesn't vote itself.

Nothing is fixed.

--- /dev/null
+++ b/review/stand-ins-2/main.rs
@@ -0,0 +1,24 @@
+//! The drivers of the cases of this review, one by its number: `review NUMBER FOLDER RECORD`. Standard library only.
+
+mod deployment;
+mod harness;
+mod votes;
+
+use std::path::Path;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder, record] = arguments.as_slice() else {
+        eprintln!("review NUMBER FOLDER RECORD");
+        std::process::exit(harness::NOT_RUN);
+    };
+    harness::begin(Path::new(folder), Path::new(record));
+    match case.as_str() {
+        "kill" => votes::run(votes::Disruption::KillVotingFront),
+        "stop" => votes::run(votes::Disruption::StopVotingFront),
+        "condemned" => votes::run_condemned(),
+        "silence" => votes::run(votes::Disruption::CutFromPlatform),
+        "cut" => votes::run(votes::Disruption::CutOneDirection),
+        _ => harness::finish(harness::NOT_RUN),
+    }
+}
