Review case 7: a streamed answer cut by a reset reaches the client as complete

Cause: the end of the connection delimits a streamed body without a length, and a reset counts as an orderly end. The proxy writes the last chunk behind what it has, with status 200.

Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod harness;
+mod stream;
 mod votes;
 
 use std::path::Path;
@@ -14,6 +15,7 @@
     };
     harness::begin(Path::new(folder), Path::new(record));
     match case.as_str() {
+        "stream" => stream::run(),
         "kill" => votes::run(votes::Disruption::KillVotingFront),
         "stop" => votes::run(votes::Disruption::StopVotingFront),
         "condemned" => votes::run_condemned(),
