Review case 10: proposals that are decided end with "no agent could carry out"

Cause: an agent that ends answers 503 for a proposal that it has forwarded, and the command line holds that a request answered by 503 or 504 had no effect: exit code 3 instead of 4.

Change: the case, its driver and its script. Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod harness;
+mod restart;
 mod stream;
 mod votes;
 
@@ -16,6 +17,7 @@
     harness::begin(Path::new(folder), Path::new(record));
     match case.as_str() {
         "stream" => stream::run(),
+        "restart" => restart::run(),
         "kill" => votes::run(votes::Disruption::KillVotingFront),
         "stop" => votes::run(votes::Disruption::StopVotingFront),
         "condemned" => votes::run_condemned(),
