--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -18,6 +18,7 @@
     match case.as_str() {
         "stream" => stream::run(),
         "restart" => restart::run(),
+        "work" => votes::run(votes::Disruption::WorkOnHost),
         "kill" => votes::run(votes::Disruption::KillVotingFront),
         "stop" => votes::run(votes::Disruption::StopVotingFront),
         "condemned" => votes::run_condemned(),
--- a/review/stand-ins-2/votes.rs
+++ b/review/stand-ins-2/votes.rs
@@ -15,6 +15,8 @@
 /// What happens before the build is offered.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Disruption {
+    /// The lease holder's host is worked on: the leadership is transferred, then its front ends by SIGTERM.
+    WorkOnHost,
     /// The front on the lease holder's host is killed and does not return.
     KillVotingFront,
     /// The same front is stopped and not continued.
@@ -128,6 +130,14 @@
     sleep_ms(4_000);
     if trouble() {
         match disruption {
+            Disruption::WorkOnHost => {
+                let successor = format!("n{}", (holder + 1) % 3 + 1);
+                let (code, text) = scene.cluster.operator(&["transfer", &successor]);
+                note(&format!("operator: transfer {successor}: exit code {code}, {}", text.trim()));
+                let front = &scene.fronts[holder].process;
+                front.signal("TERM");
+                wait_for("its front has ended", 15, || !front.is_running());
+            }
             Disruption::KillVotingFront => scene.fronts[holder].process.signal("KILL"),
             Disruption::StopVotingFront => scene.fronts[holder].process.signal("STOP"),
             Disruption::CutFromPlatform => {
