Each script of cases 6 to 10 reads TROUBLE and writes its own record.txt

Cause: both lay in the program that the scripts share, so that a case's folder showed neither, and a case that could not run left no record. The record had sums where it was to say what was sent, answered and run.

Change: a script reads TROUBLE, begins record.txt and hands both to its driver. The record has a line for each request sent, with its answer, for each that a machine ran, and for each proposal. Checks, bounds and disruptions are as before.

--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -343,13 +343,14 @@
             build,
             counts: Arc::default(),
         };
-        let counts = machine.counts.clone();
+        let (counts, name) = (machine.counts.clone(), machine.id.clone());
         serve(listener, move |request, stream| {
             if request.header("request-id").is_none() {
                 return stream.write_all(response(404, "").as_bytes()).is_ok();
             }
             let number = counts.requests.fetch_add(1, Ordering::SeqCst);
             sleep_ms(3);
+            let id = request.header("request-id").unwrap_or_default().to_owned();
             let answer = if bad && number % 10 != 9 {
                 counts.failed.fetch_add(1, Ordering::SeqCst);
                 lock(&counts.first_failure).get_or_insert_with(Instant::now);
@@ -357,6 +358,7 @@
             } else {
                 response(200, &format!("answer to {}", request.header("request-id").unwrap_or_default()))
             };
+            note(&format!("machine {name}: ran {id}: {}", &answer[9..12]));
             stream.write_all(answer.as_bytes()).is_ok()
         });
         machine
@@ -475,11 +477,14 @@
                     let text = format!(
                         "GET /look/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: {prefix}-{number}\r\nRequest-Timeout-Ms: 1000\r\n\r\n"
                     );
-                    let counter = match connection.request(&text, 1100) {
-                        Some(_) => &answered,
-                        None => &unanswered,
+                    let sent = elapsed().as_secs_f64();
+                    let answer = connection.request(&text, 1100);
+                    let (counter, status) = match &answer {
+                        Some(answer) => (&answered, answer.status().to_string()),
+                        None => (&unanswered, "no answer".to_owned()),
                     };
                     counter.fetch_add(1, Ordering::SeqCst);
+                    note(&format!("client: {prefix}-{number} sent at {sent:.3}: {status}"));
                     sleep_ms(every_ms);
                 }
             });
--- a/review/stand-ins-2/harness.rs
+++ b/review/stand-ins-2/harness.rs
@@ -35,12 +35,13 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-/// Starts a case: opens its record and starts the watchdog.
-pub fn begin(folder: &Path, record: &Path) {
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+/// Starts a case: opens its record, to which it appends, and starts the watchdog.
+pub fn begin(folder: &Path, record: &Path, trouble: bool) {
     let world = World {
         started: Instant::now(),
-        record: Mutex::new(File::create(record).expect("the record can be written")),
+        record: Mutex::new(
+            File::options().append(true).create(true).open(record).expect("the record can be written"),
+        ),
         children: Mutex::default(),
         folder: folder.to_owned(),
         trouble,
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,4 +1,4 @@
-//! The drivers of the cases of this review, one by its number: `review NUMBER FOLDER RECORD`. Standard library only.
+//! The drivers of the cases of this review, one by its name: `review NAME FOLDER RECORD TROUBLE`. Standard library only.
 
 mod deployment;
 mod harness;
@@ -10,11 +10,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder, record] = arguments.as_slice() else {
-        eprintln!("review NUMBER FOLDER RECORD");
+    let [_, case, folder, record, trouble] = arguments.as_slice() else {
+        eprintln!("review NAME FOLDER RECORD TROUBLE");
         std::process::exit(harness::NOT_RUN);
     };
-    harness::begin(Path::new(folder), Path::new(record));
+    harness::begin(Path::new(folder), Path::new(record), trouble != "0");
     match case.as_str() {
         "stream" => stream::run(),
         "restart" => restart::run(),
--- a/review/stand-ins-2/restart.rs
+++ b/review/stand-ins-2/restart.rs
@@ -41,6 +41,7 @@
                 let subject = format!("work/{number}");
                 let (code, text) =
                     run_command(OPERATOR, &["ledger", "--agent", &address, "propose", &subject, "yes"]);
+                note(&format!("operator: proposed {subject}: exit code {code}"));
                 lock(&proposals).push(Proposal { number, code, text });
                 if code != 0 {
                     sleep_ms(100);
--- a/review/stand-ins-2/run-case.sh
+++ b/review/stand-ins-2/run-case.sh
@@ -1,16 +1,16 @@
-# Runs the driver of a case: `. run-case.sh; run_case DRIVER FOLDER_OF_THE_CASE`. It passes its exit code on, and ends all
-# processes that the driver has started, also when the script itself is ended.
-run_case() {
-    local driver=$1 record=$2/record.txt code=2
-    cd "$2/../.."
+# For the scripts of the cases: `run_driver NAME RECORD TROUBLE` runs a driver in the root of the repository, in a temporary
+# folder, and ends the script with its exit code. All processes that the driver has started are ended, also when the script
+# itself is ended.
+run_driver() {
+    local name=$1 record=$2 trouble=$3 code
     if [ ! -x target/review-2/review ] || [ ! -x target/release/garnetcrank-proxy ]; then
-        echo "run the build of the deploy file and review/build-2.sh first" >&2
+        echo "build first: the build of deploy/balancer.toml, then review/build-2.sh" | tee -a "$record" >&2
         exit 2
     fi
-    folder=$(mktemp -d)
+    folder=$(mktemp -d) || exit 2
     trap end_case EXIT
     trap 'exit 2' INT TERM HUP
-    target/review-2/review "$driver" "$folder" "$record" &
+    target/review-2/review "$name" "$folder" "$record" "$trouble" &
     driver_pid=$!
     wait "$driver_pid" && code=0 || code=$?
     driver_pid=
@@ -22,9 +22,11 @@
     # The driver ends its processes itself. These are ended here only if it was ended before.
     if [ -n "${driver_pid:-}" ]; then
         kill -KILL "$driver_pid" 2>/dev/null || true
-        while read -r pid; do
-            kill -KILL "$pid" 2>/dev/null || true
-        done < "$folder/pids"
+        if [ -e "$folder/pids" ]; then
+            while read -r pid; do
+                kill -KILL "$pid" 2>/dev/null || true
+            done < "$folder/pids"
+        fi
     fi
     rm -rf "$folder"
 }
