A reset no longer completes a streamed response that has no length

Callers saw: a 200 without a length, streamed from an endpoint whose process died in the middle, reached its client as a complete message (status 200, the lines so far, the last chunk).

Linux reports an error once: a write, a peek or SO_ERROR that comes first takes it, and the read after it returns 0 as after a close (probed on loopback).

Change: InputState says whether the input is open, closed, or lost and by which kind of error. A connection records the first error that any call gets, and a read of 0 bytes after it is a loss. EPIPE is not recorded, since the peer closed before it or the error is known. Only an orderly close completes a response without a length; framed responses are as before. Watch streams log the kind.

Why it works: all readers ask one place, and what makes a body complete is the close itself.

--- a/crates/http/src/memory/tests.rs
+++ b/crates/http/src/memory/tests.rs
@@ -1,7 +1,7 @@
 //! Tests that bytes are counted from the first one until the buffer or message is dropped.
 
 use super::MemoryGauge;
-use crate::{Parsed, Request, RequestReader, ResponseReader, Ring};
+use crate::{InputState, Parsed, Request, RequestReader, ResponseReader, Ring};
 
 const HEAD: &[u8] = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 50000\r\n\r\n";
 
@@ -54,7 +54,7 @@
     for reader in [&mut buffered, &mut streamed] {
         ring.push(head).expect("the ring has space");
         ring.push(&[b'x'; 49_999]).expect("the ring has space");
-        assert!(matches!(reader.read(&mut ring, false), Ok(Parsed::Incomplete)));
+        assert!(matches!(reader.read(&mut ring, InputState::Open), Ok(Parsed::Incomplete)));
         assert!(gauge.bytes() >= 49_999);
     }
     assert_eq!(streamed.take_body().len(), 49_999);
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -4,6 +4,7 @@
 use crate::error::MessageError;
 use crate::head::{MAX_HEADERS, Parsed, ParsedHead, head_error, take_head};
 use crate::headers::Headers;
+use crate::input::InputState;
 use crate::memory::MemoryCharge;
 use crate::ring::Ring;
 
@@ -94,35 +95,43 @@
         body
     }
 
-    /// Reads the response, as far as the ring holds it. `ended` tells that no more input will arrive.
+    /// Reads the response, as far as the ring holds it. `input` is the state of the connection after the bytes in the
+    /// ring. An orderly close completes a response that the end of the connection delimits; the loss of the connection
+    /// does not, as the rest of the response may be lost, too.
     ///
     /// # Errors
-    /// The response is rejected; nothing more can be read from the connection then.
-    pub fn read(&mut self, ring: &mut Ring, ended: bool) -> Result<Parsed<Response>, MessageError> {
+    /// The response is rejected or truncated; nothing more can be read from the connection then.
+    pub fn read(&mut self, ring: &mut Ring, input: InputState) -> Result<Parsed<Response>, MessageError> {
         if self.partial.is_none() {
             self.partial = self.read_head(ring)?;
         }
         let Some(partial) = &mut self.partial else {
-            return if ended { Err(MessageError::Truncated) } else { Ok(Parsed::Incomplete) };
+            return if input.has_ended() { Err(MessageError::Truncated) } else { Ok(Parsed::Incomplete) };
         };
         let is_buffered = self.mode == BodyMode::Buffered;
         // Reading one byte more than allowed distinguishes a body at the limit from one beyond it.
         let read_limit = self.max_body_bytes + usize::from(is_buffered);
-        let mut is_complete = partial.framing.read(ring, &mut partial.response.body, read_limit)?;
+        let is_complete = partial.framing.read(ring, &mut partial.response.body, read_limit)?;
         partial.update_charge();
         if is_buffered && partial.response.body.len() > self.max_body_bytes {
             return Err(MessageError::BodyTooLarge);
         }
-        if ended && ring.is_empty() && !is_complete {
-            if partial.framing != Framing::UntilClose {
-                return Err(MessageError::Truncated);
-            }
-            is_complete = true;
+        if is_complete || self.is_completed_by(input, ring) {
+            return Ok(self
+                .partial
+                .take()
+                .map_or(Parsed::Incomplete, |partial| Parsed::Complete(partial.response)));
         }
-        if !is_complete {
-            return Ok(Parsed::Incomplete);
+        if input.has_ended() && ring.is_empty() {
+            return Err(MessageError::Truncated);
         }
-        Ok(self.partial.take().map_or(Parsed::Incomplete, |partial| Parsed::Complete(partial.response)))
+        Ok(Parsed::Incomplete)
+    }
+
+    /// Returns whether the state of the input completes the response, which holds all bytes before it.
+    fn is_completed_by(&self, input: InputState, ring: &Ring) -> bool {
+        let until_close = self.partial.as_ref().is_some_and(|partial| partial.framing == Framing::UntilClose);
+        until_close && ring.is_empty() && input == InputState::Closed
     }
 
     /// Reads the head of the final response, and skips interim responses before it.
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::error::MessageError;
 use crate::head::Parsed;
+use crate::input::InputState;
 use crate::response::ResponseReader;
 use crate::ring::Ring;
 
@@ -28,20 +29,20 @@
         self.reader.partial_response().map(|response| response.status)
     }
 
-    /// Adds the complete lines to `lines`, without their line ends. `ended` tells that no more input will
-    /// arrive. Returns whether the response has ended.
+    /// Adds the complete lines to `lines`, without their line ends. `input` is the state of the connection after the
+    /// bytes in the ring. Returns whether the response has ended.
     ///
     /// # Errors
     /// The response is rejected, or a line is too long. Lines that were complete before are in `lines`.
     pub fn read(
         &mut self,
         ring: &mut Ring,
-        ended: bool,
+        input: InputState,
         lines: &mut Vec<Vec<u8>>,
     ) -> Result<bool, MessageError> {
         loop {
             let length_before = ring.len();
-            let (body, is_complete) = match self.reader.read(ring, ended) {
+            let (body, is_complete) = match self.reader.read(ring, input) {
                 Ok(Parsed::Complete(response)) => (response.body, Ok(true)),
                 Ok(Parsed::Incomplete) => (self.reader.take_body(), Ok(false)),
                 Err(error) => (self.reader.take_body(), Err(error)),
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -1,7 +1,9 @@
 //! Tests of reading and writing messages, with input split at each byte, all framings and arbitrary input.
 
+use std::io::ErrorKind;
+
 use garnetcrank_http::{
-    MessageError, Parsed, Request, RequestReader, Response, ResponseReader, Ring, StreamReader,
+    InputState, MessageError, Parsed, Request, RequestReader, Response, ResponseReader, Ring, StreamReader,
     write_request, write_response,
 };
 
@@ -23,10 +25,10 @@
     Ok(all)
 }
 
-fn read_response(text: &[u8], ended: bool) -> Result<Parsed<Response>, MessageError> {
+fn read_response(text: &[u8], input: InputState) -> Result<Parsed<Response>, MessageError> {
     let mut ring = Ring::new(text.len().max(1));
     ring.push(text).expect("fits");
-    ResponseReader::buffered(1000).read(&mut ring, ended)
+    ResponseReader::buffered(1000).read(&mut ring, input)
 }
 
 const TWO_REQUESTS: &[u8] = b"POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nX-Y: z\r\n\r\nhello\
@@ -96,25 +98,36 @@
 
 #[test]
 fn responses_of_every_framing_are_read_completely() {
-    for (text, ended, keep_alive) in [
-        ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, true),
-        ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", false, false),
-        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false, true),
-        ("HTTP/1.1 500 Oops\r\n\r\nhello", true, false),
-        ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, true),
+    for (text, input, keep_alive) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", InputState::Open, true),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", InputState::Open, false),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            InputState::Open,
+            true,
+        ),
+        ("HTTP/1.1 500 Oops\r\n\r\nhello", InputState::Closed, false),
+        (
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            InputState::Open,
+            true,
+        ),
     ] {
-        let Ok(Parsed::Complete(response)) = read_response(text.as_bytes(), ended) else {
+        let Ok(Parsed::Complete(response)) = read_response(text.as_bytes(), input) else {
             panic!("{text:?}")
         };
         assert_eq!((response.body.as_slice(), response.keep_alive), (&b"hello"[..], keep_alive), "{text:?}");
         for at in 0..text.len() {
-            let part = read_response(&text.as_bytes()[..at], false);
+            let part = read_response(&text.as_bytes()[..at], InputState::Open);
             assert!(matches!(part, Ok(Parsed::Incomplete)), "{part:?} of {at} bytes of {text:?}");
         }
     }
     // Rejected because it would look complete if it were truncated.
-    assert!(matches!(read_response(b"HTTP/1.1 200 OK\r\n\r\nhello", true), Err(MessageError::Malformed(_))));
-    let without_body = read_response(b"HTTP/1.1 204 None\r\n\r\n", false);
+    assert!(matches!(
+        read_response(b"HTTP/1.1 200 OK\r\n\r\nhello", InputState::Closed),
+        Err(MessageError::Malformed(_))
+    ));
+    let without_body = read_response(b"HTTP/1.1 204 None\r\n\r\n", InputState::Open);
     assert!(matches!(without_body, Ok(Parsed::Complete(r)) if r.body.is_empty() && r.keep_alive));
 }
 
@@ -126,7 +139,34 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
     ] {
-        assert_eq!(read_response(text.as_bytes(), true), Err(MessageError::Truncated), "{text:?}");
+        assert_eq!(
+            read_response(text.as_bytes(), InputState::Closed),
+            Err(MessageError::Truncated),
+            "{text:?}"
+        );
+    }
+}
+
+/// Guards against a lost connection that is taken for the orderly close that delimits a response.
+#[test]
+fn only_an_orderly_close_completes_a_response_without_length() {
+    let lost = InputState::Lost(ErrorKind::ConnectionReset);
+    let readers = [ResponseReader::buffered(1000), ResponseReader::streamed(1000)];
+    for (mut reader, status) in readers.into_iter().zip([500, 200]) {
+        let text = format!("HTTP/1.1 {status} X\r\n\r\nhello");
+        let mut ring = Ring::new(1000);
+        ring.push(text.as_bytes()).expect("fits");
+        assert_eq!(reader.read(&mut ring, InputState::Open), Ok(Parsed::Incomplete));
+        assert_eq!(reader.read(&mut ring, lost), Err(MessageError::Truncated), "{status}");
+        let closed = reader.read(&mut ring, InputState::Closed);
+        assert!(matches!(closed, Ok(Parsed::Complete(response)) if response.body == b"hello"), "{status}");
+    }
+    for text in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ] {
+        let framed = read_response(text.as_bytes(), lost);
+        assert!(matches!(framed, Ok(Parsed::Complete(response)) if response.body == b"hello"), "{text:?}");
     }
 }
 
@@ -138,7 +178,7 @@
         let (mut ring, mut reader, mut all) = (Ring::new(4096), StreamReader::new(10), Vec::new());
         for piece in [&text[..at], &text[at..]] {
             ring.push(piece).expect("fits");
-            assert_eq!(reader.read(&mut ring, false, &mut all), Ok(false));
+            assert_eq!(reader.read(&mut ring, InputState::Open, &mut all), Ok(false));
         }
         assert_eq!(all, [&b"one"[..], b"two", b""], "split at {at}");
     }
@@ -149,7 +189,7 @@
     let mut ring = Ring::new(4096);
     ring.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nelevenbytes\r\n").expect("fits");
     assert_eq!(
-        StreamReader::new(10).read(&mut ring, false, &mut Vec::new()),
+        StreamReader::new(10).read(&mut ring, InputState::Open, &mut Vec::new()),
         Err(MessageError::BodyTooLarge)
     );
 }
@@ -161,7 +201,7 @@
         let text = format!("{head}8\r\none\ntwo\n\r\n{malformed}er than it says");
         let (mut ring, mut lines) = (Ring::new(4096), Vec::new());
         ring.push(text.as_bytes()).expect("fits");
-        let read = StreamReader::new(10).read(&mut ring, false, &mut lines);
+        let read = StreamReader::new(10).read(&mut ring, InputState::Open, &mut lines);
         assert!(matches!(read, Err(MessageError::Malformed(_))), "{malformed:?}: {read:?}");
         assert_eq!(lines, [&b"one"[..], b"two"], "{malformed:?}");
     }
@@ -177,7 +217,8 @@
     };
     assert_eq!((request.target.as_str(), request.body.as_slice()), ("/a?b", &b"body"[..]));
     write_response(&mut ring, 503, std::iter::once(("Retry-After", &b"0.250"[..])), Some(b"")).expect("fits");
-    let Ok(Parsed::Complete(response)) = ResponseReader::buffered(10).read(&mut ring, false) else {
+    let Ok(Parsed::Complete(response)) = ResponseReader::buffered(10).read(&mut ring, InputState::Open)
+    else {
         panic!("response is not read")
     };
     assert_eq!((response.status, response.headers.single_value("retry-after")), (503, Ok(Some("0.250"))));
@@ -236,7 +277,8 @@
                 });
             }
             if response_ok && response_ring.push(&piece).is_ok() {
-                response_ok = responses.read(&mut response_ring, random(20) == 0).is_ok_and(|p| match p {
+                let input = if random(20) == 0 { InputState::Closed } else { InputState::Open };
+                response_ok = responses.read(&mut response_ring, input).is_ok_and(|p| match p {
                     Parsed::Complete(response) => response.body.len() <= 50,
                     Parsed::Incomplete => responses.partial_response().is_none_or(|r| r.body.len() <= 51),
                 });
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -1,12 +1,16 @@
 //! A TCP connection registered with the event loop, with one ring buffer for each direction.
 
+#[cfg(test)]
+mod tests;
+
+use std::cell::OnceCell;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
-use garnetcrank_http::Ring;
+use garnetcrank_http::{InputState, Ring};
 use rustix::io::Errno;
 use socket2::{Domain, Socket, Type};
 
@@ -46,8 +50,11 @@
     pub(crate) output: Ring,
     /// Whether there may be unread input in the socket's buffer.
     readable: bool,
-    /// Whether no more input can be read: the peer closed its sending direction or the connection is lost.
-    read_closed: bool,
+    /// Whether and how the input has ended, as far as it has been read.
+    input_state: InputState,
+    /// First error that the system reported for the socket, by whichever call. The system reports an error once, and
+    /// afterwards a read returns 0 bytes as after an orderly close.
+    socket_error: OnceCell<io::ErrorKind>,
 }
 
 impl Connection {
@@ -82,7 +89,8 @@
             input: Ring::counted(input_bytes, &handle.memory),
             output: Ring::counted(output_bytes, &handle.memory),
             readable: false,
-            read_closed: false,
+            input_state: InputState::Open,
+            socket_error: OnceCell::new(),
         })
     }
 
@@ -124,19 +132,22 @@
     /// The connection could not be established.
     pub(crate) fn connected(&self) -> io::Result<bool> {
         match self.stream.take_error()? {
-            Some(error) => Err(error),
+            Some(error) => {
+                self.record_error(&error);
+                Err(error)
+            }
             None => Ok(self.stream.peer_addr().is_ok()),
         }
     }
 
-    /// Reads at most once, up to the free space of the input buffer. Returns whether no more input can be
-    /// read. It does not read until the socket is empty, as a message that is complete after one read needs
+    /// Reads at most once, up to the free space of the input buffer. Returns the state of the input after the bytes in
+    /// the buffer. It does not read until the socket is empty, as a message that is complete after one read needs
     /// no second one. A connection that has used up its quota of the turn reads no more before the next one.
-    pub(crate) fn fill(&mut self) -> bool {
+    pub(crate) fn fill(&mut self) -> InputState {
         if self.can_read_more() {
             self.read_once();
         }
-        self.read_closed
+        self.input_state
     }
 
     /// Reads what has arrived, as far as the input buffer has space, and returns the status of the peer. It asks the
@@ -145,7 +156,8 @@
         self.readable = true;
         for _ in 0..MAX_STATUS_READS {
             if !self.has_unread_input() {
-                return if self.read_closed { PeerStatus::Disconnected } else { PeerStatus::Connected };
+                let has_ended = self.input_state.has_ended();
+                return if has_ended { PeerStatus::Disconnected } else { PeerStatus::Connected };
             }
             if self.input.free_bytes() == 0 {
                 return PeerStatus::Unknown;
@@ -156,13 +168,34 @@
     }
 
     fn read_once(&mut self) {
-        match self.input.fill(&mut &*self.stream) {
-            Ok(0) => self.read_closed = true,
-            Ok(read) => self.turn_quota.record_read(read),
+        let result = self.input.fill(&mut &*self.stream);
+        self.record_read(result);
+    }
+
+    /// Records the result of a read. Returns the number of bytes read.
+    fn record_read(&mut self, result: io::Result<usize>) -> usize {
+        match result {
+            Ok(0) => self.input_state = self.state_at_end_of_input(),
+            Ok(read) => {
+                self.turn_quota.record_read(read);
+                return read;
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(_) => self.read_closed = true,
+            Err(error) => self.input_state = InputState::Lost(self.record_error(&error)),
         }
+        0
+    }
+
+    /// Returns the state of the input after a read of 0 bytes. It is an orderly close unless the system has reported an
+    /// error of the socket before.
+    fn state_at_end_of_input(&self) -> InputState {
+        self.socket_error.get().map_or(InputState::Closed, |kind| InputState::Lost(*kind))
+    }
+
+    /// Records an error of the socket. Returns the kind of the first one.
+    fn record_error(&self, error: &io::Error) -> io::ErrorKind {
+        *self.socket_error.get_or_init(|| error.kind())
     }
 
     /// Drops the input buffer and reads and drops further input, until at least `max` bytes have been dropped
@@ -172,25 +205,17 @@
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
         let mut dropped = self.input.len();
         self.input.consume(usize::MAX);
-        while self.readable && !self.read_closed && dropped < max && self.turn_quota.may_read() {
-            match (&*self.stream).read(&mut buffer) {
-                Ok(0) => self.read_closed = true,
-                Ok(read) => {
-                    dropped += read;
-                    self.turn_quota.record_read(read);
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => self.read_closed = true,
-            }
+        while self.has_unread_input() && dropped < max && self.turn_quota.may_read() {
+            let result = (&*self.stream).read(&mut buffer);
+            dropped += self.record_read(result);
         }
-        (dropped, self.read_closed)
+        (dropped, self.input_state.has_ended())
     }
 
     /// Returns whether more input may be available that the connection may read in this turn and has space
     /// for.
     pub(crate) fn can_read_more(&self) -> bool {
-        self.readable && !self.read_closed && self.input.free_bytes() > 0 && self.turn_quota.may_read()
+        self.has_unread_input() && self.input.free_bytes() > 0 && self.turn_quota.may_read()
     }
 
     /// Sends as much of the output buffer as possible without blocking. Returns whether all of it was sent.
@@ -204,24 +229,43 @@
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
+                Err(error) => {
+                    self.record_write_error(&error);
+                    return Err(error);
+                }
             }
         }
         Ok(true)
     }
 
+    /// Records an error of a write. A broken pipe tells nothing new: the peer closed its sending direction before it reset
+    /// the connection, so that its input is complete, or the error of the socket has been reported before.
+    fn record_write_error(&self, error: &io::Error) {
+        if error.kind() != io::ErrorKind::BrokenPipe {
+            self.record_error(error);
+        }
+    }
+
     /// Returns whether there may be unread input in the socket's buffer, also if it may not be read in this
     /// turn.
     pub(crate) fn has_unread_input(&self) -> bool {
-        self.readable && !self.read_closed
+        self.readable && !self.input_state.has_ended()
     }
 
     /// Returns whether the connection is open and has no unread input, neither in the input buffer nor in the
     /// socket's.
     pub(crate) fn is_open_without_input(&self) -> bool {
-        let peeked = self.stream.peek(&mut [0]);
-        let nothing_unread = matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-        nothing_unread && !self.read_closed && self.input.is_empty()
+        match self.stream.peek(&mut [0]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                !self.input_state.has_ended() && self.input.is_empty()
+            }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => false,
+            Err(error) => {
+                self.record_error(&error);
+                false
+            }
+            Ok(_) => false,
+        }
     }
 
     /// Returns the memory of both buffers, in bytes.
--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -4,7 +4,7 @@
 use crate::classify::classify;
 use crate::clock::MS;
 use crate::dispatcher::in_flight::EXPIRATION_GRACE;
-use garnetcrank_http::{Parsed, RequestReader, Ring};
+use garnetcrank_http::{InputState, Parsed, RequestReader, ResponseReader, Ring};
 use garnetcrank_policy::api::{EndpointRecord, EndpointStatus, EndpointUpdate};
 
 const NOW: Micros = 1_700_000_000_000_000;
@@ -89,7 +89,7 @@
     assert_eq!(handle_all_events(&mut dispatcher).len(), 1);
     let mut ring = Ring::new(4096);
     ring.push(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").expect("space in the ring buffer");
-    let read = garnetcrank_http::ResponseReader::buffered(10).read(&mut ring, false);
+    let read = ResponseReader::buffered(10).read(&mut ring, InputState::Open);
     let Ok(Parsed::Complete(response)) = read else { panic!("the response is not complete") };
     let mut commands = Vec::new();
     dispatcher.on_attempt_completed(result(id, 0, Outcome::Success), Some(response), &mut commands);
--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -148,7 +148,7 @@
     /// parsed before the response has been written.
     fn watch_for_disconnect(&mut self, output_drained: bool) -> Progress {
         while self.connection.can_read_more() {
-            if self.connection.fill() {
+            if self.connection.fill().has_ended() {
                 return Progress::Disconnected;
             }
         }
@@ -160,10 +160,10 @@
 
     fn read_next_request(&mut self, now: Micros) -> Progress {
         loop {
-            let mut ended = self.connection.fill();
+            let mut ended = self.connection.fill().has_ended();
             if self.is_new && self.accept_delayed {
                 // The close of a client that has given up may follow its request.
-                ended |= self.connection.fill();
+                ended |= self.connection.fill().has_ended();
             }
             if self.must_wait_for_next_turn() {
                 // The other connections come first. Otherwise a client whose requests are all answered at once
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -96,20 +96,21 @@
 
     fn read(&mut self, connection: &mut Connection, write_failed: bool) -> ExchangeProgress {
         loop {
-            let closed = connection.fill();
-            match self.reader.read(&mut connection.input, closed) {
+            let input = connection.fill();
+            match self.reader.read(&mut connection.input, input) {
                 // A server does not respond with 200 to a request that it has not received completely, so these bytes
                 // are not the response to this request.
                 Ok(Parsed::Complete(response)) if !self.request_sent() && response.status == 200 => {
                     return self.connection_lost();
                 }
                 Ok(Parsed::Complete(response)) => {
-                    let nothing_follows = self.request_sent() && !closed && connection.input.is_empty();
+                    let nothing_follows =
+                        self.request_sent() && !input.has_ended() && connection.input.is_empty();
                     let reusable = nothing_follows && response.keep_alive;
                     return ExchangeProgress::Response { response, reusable };
                 }
                 Err(_) => return self.connection_lost(),
-                Ok(Parsed::Incomplete) if closed || write_failed => return self.connection_lost(),
+                Ok(Parsed::Incomplete) if input.has_ended() || write_failed => return self.connection_lost(),
                 Ok(Parsed::Incomplete) if connection.can_read_more() => {}
                 Ok(Parsed::Incomplete) => return ExchangeProgress::Pending,
             }
--- a/crates/proxy/src/release_controller/tests.rs
+++ b/crates/proxy/src/release_controller/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the order of rollout states, responses to votes and event lines.
 
+use garnetcrank_http::{InputState, Parsed, ResponseReader, Ring, write_response};
 use garnetcrank_policy::api::{Build, RolloutPhase, VoteResult};
 
 use super::ReleaseController;
@@ -48,12 +49,10 @@
 fn every_outcome_of_a_vote_has_a_result() {
     let body = br#"{"release":42,"tranche":1,"mode":"IN_PROGRESS","exposure":0.28,"old_ms":310}"#;
     let response = |status: u16, body: &[u8]| {
-        let mut ring = garnetcrank_http::Ring::new(4096);
-        garnetcrank_http::write_response(&mut ring, status, std::iter::empty(), Some(body))
-            .expect("the response fits");
-        let mut reader = garnetcrank_http::ResponseReader::buffered(4096);
-        let garnetcrank_http::Parsed::Complete(parsed) =
-            reader.read(&mut ring, false).expect("a valid response")
+        let mut ring = Ring::new(4096);
+        write_response(&mut ring, status, std::iter::empty(), Some(body)).expect("the response fits");
+        let mut reader = ResponseReader::buffered(4096);
+        let Parsed::Complete(parsed) = reader.read(&mut ring, InputState::Open).expect("a valid response")
         else {
             panic!("incomplete response");
         };
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use calloop::{EventLoop, Readiness};
-use garnetcrank_http::{Parsed, Request, RequestReader, Response, ResponseReader, Ring};
+use garnetcrank_http::{InputState, Parsed, Request, RequestReader, Response, ResponseReader, Ring};
 use garnetcrank_policy::api::{Build, EndpointId, Micros, Outcome, RequestId};
 use garnetcrank_settings::Transport;
+use garnetcrank_test_support::scripted_servers::reset_on_close;
 
 use super::exchange::{Purpose, REUSE_DELAY};
 use super::outcome::{load_report, response_outcome};
@@ -21,7 +22,7 @@
 fn read_response(text: &str) -> Response {
     let mut ring = Ring::new(4096);
     ring.push(text.as_bytes()).expect("response fits");
-    match ResponseReader::buffered(4096).read(&mut ring, true) {
+    match ResponseReader::buffered(4096).read(&mut ring, InputState::Closed) {
         Ok(Parsed::Complete(response)) => response,
         other => panic!("{other:?}"),
     }
@@ -125,6 +126,25 @@
         }
     }
 
+    /// Reports readiness until the attempt has ended. Returns the number of bytes of its body and its outcome.
+    fn finish_attempt(&mut self) -> (usize, Outcome) {
+        let mut body_bytes = 0;
+        loop {
+            self.handle.turn.begin(&mut Vec::new());
+            self.report_ready(NOW);
+            for event in self.events.drain(..) {
+                match event {
+                    UpstreamEvent::BodyPart { bytes, .. } => body_bytes += bytes.len(),
+                    UpstreamEvent::AttemptCompleted { outcome, response, .. } => {
+                        let rest = response.map_or(0, |response| response.body.len());
+                        return (body_bytes + rest, outcome);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
     fn completed(&mut self) -> Vec<(u32, Outcome)> {
         let outcome_of = |event| match event {
             UpstreamEvent::AttemptCompleted { id, outcome, .. } => (id.0, outcome),
@@ -307,3 +327,32 @@
         received += read_in_turn;
     }
 }
+
+/// Guards against a reset that is taken for the orderly close that delimits a response.
+#[test]
+fn a_reset_completes_no_response_that_a_close_would_complete() {
+    let without_length = |status: &str| format!("HTTP/1.1 {status}\r\nConnection: close\r\n\r\nhello");
+    for (response, streamed, after_close, after_reset) in [
+        (without_length("200 OK"), true, Outcome::Success, Outcome::ConnectionLost),
+        (without_length("200 OK"), false, Outcome::ConnectionLost, Outcome::ConnectionLost),
+        (without_length("500 Oops"), true, Outcome::Error, Outcome::ConnectionLost),
+        (without_length("500 Oops"), false, Outcome::Error, Outcome::ConnectionLost),
+        (without_length("503 Busy\r\nNot-Started: 1"), false, Outcome::Overloaded, Outcome::ConnectionLost),
+        (RESPONSE.to_owned(), true, Outcome::Success, Outcome::Success),
+        (RESPONSE.to_owned(), false, Outcome::Success, Outcome::Success),
+    ] {
+        for (is_reset, expected) in [(false, after_close), (true, after_reset)] {
+            let mut fixture = Fixture::new();
+            fixture.start_attempt(1, streamed, NOW);
+            let mut endpoint = fixture.accept();
+            write_text(&mut endpoint, &response);
+            fixture.wait_for_bytes();
+            if is_reset {
+                reset_on_close(&endpoint);
+            }
+            drop(endpoint);
+            let (_, outcome) = fixture.finish_attempt();
+            assert_eq!(outcome, expected, "streamed: {streamed}, reset: {is_reset}, {response:?}");
+        }
+    }
+}
--- a/crates/proxy/src/watch_stream/open_stream.rs
+++ b/crates/proxy/src/watch_stream/open_stream.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use garnetcrank_http::{MessageError, StreamReader};
+use garnetcrank_http::{InputState, MessageError, StreamReader};
 
 use crate::connection::Connection;
 use crate::readiness::ConnId;
@@ -27,10 +27,22 @@
     Status(u16),
     #[error("connection closed by the peer")]
     Closed,
+    #[error("connection lost: {0}")]
+    Lost(io::ErrorKind),
     #[error("unreadable response: {0}")]
     Unreadable(MessageError),
 }
 
+impl StreamEnd {
+    /// Returns the reason for the end of a response that lacks its last bytes.
+    fn of_input(input: InputState) -> Self {
+        match input {
+            InputState::Lost(kind) => StreamEnd::Lost(kind),
+            InputState::Open | InputState::Closed => StreamEnd::Closed,
+        }
+    }
+}
+
 /// Result of a read.
 pub(super) struct StreamRead {
     /// Whether bytes have arrived.
@@ -67,22 +79,32 @@
             }
         }
         // Bytes that arrived before the connection broke still count, so they are read before the error is returned.
-        let write_failed = self.connection.flush().is_err();
+        let write_error = self.connection.flush().err();
         loop {
             let before = self.connection.input.len();
-            let closed = self.connection.fill();
-            let ended = closed || (write_failed && !self.connection.has_unread_input());
+            let filled = self.connection.fill();
+            let input = match &write_error {
+                Some(error) if !self.connection.has_unread_input() && !filled.has_ended() => {
+                    InputState::Lost(error.kind())
+                }
+                _ => filled,
+            };
             *any_bytes |= self.connection.input.len() > before;
-            let read = self.reader.read(&mut self.connection.input, ended, lines);
-            let is_complete = read.map_err(StreamEnd::Unreadable)?;
+            let is_complete = match self.reader.read(&mut self.connection.input, input, lines) {
+                Err(MessageError::Truncated) => return Err(StreamEnd::of_input(input)),
+                read => read.map_err(StreamEnd::Unreadable)?,
+            };
             if let Some(status) = self.reader.status().filter(|status| *status != 200) {
                 // The body of an error response contains no events.
                 lines.clear();
                 return Err(StreamEnd::Status(status));
             }
-            if is_complete || ended {
+            if is_complete {
                 return Err(StreamEnd::Closed);
             }
+            if input.has_ended() {
+                return Err(StreamEnd::of_input(input));
+            }
             if !self.connection.can_read_more() {
                 return Ok(());
             }
--- a/crates/proxy/tests/proxy/streaming.rs
+++ b/crates/proxy/tests/proxy/streaming.rs
@@ -2,10 +2,38 @@
 
 use std::time::Duration;
 
-use garnetcrank_test_support::scripted_servers::{EndpointBehavior, RunningProxy, ScriptedEndpoint, request};
+use garnetcrank_test_support::scripted_servers::{
+    ConnectionEnd, EndpointBehavior, RunningProxy, ScriptedEndpoint, TestClient, request,
+};
 
 use crate::common::proxy_setup;
 
+/// Head of a response that the end of the connection delimits.
+const HEAD_WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+/// Reads the bytes that arrive up to the first occurrence of `text`, and possibly more.
+fn read_until(client: &mut TestClient, text: &str) -> Vec<u8> {
+    let mut received = Vec::new();
+    while !received.windows(text.len()).any(|window| window == text.as_bytes()) {
+        let bytes = client.read_at_most(1000);
+        assert!(!bytes.is_empty(), "the stream ended before {text:?}");
+        received.extend(bytes);
+    }
+    received
+}
+
+/// Reads all bytes up to the end of the connection.
+fn read_to_end(client: &mut TestClient) -> Vec<u8> {
+    let mut received = Vec::new();
+    loop {
+        let bytes = client.read_at_most(1000);
+        if bytes.is_empty() {
+            return received;
+        }
+        received.extend(bytes);
+    }
+}
+
 #[test]
 fn a_streamed_response_is_forwarded_as_it_arrives() {
     let endpoint =
@@ -15,23 +43,14 @@
     let mut client = proxy.client();
     client.send(&request("GET", "/tail", 5000, ""));
     endpoint.release();
-    let mut received = Vec::new();
-    while !received.windows(3).any(|window| window == b"one") {
-        let bytes = client.read_at_most(1000);
-        assert!(!bytes.is_empty(), "the stream ended early");
-        received.extend(bytes);
-    }
+    let received = read_until(&mut client, "one");
     assert!(
         !received.windows(3).any(|window| window == b"two"),
         "the first chunk was held back until the second"
     );
     endpoint.release();
     endpoint.release();
-    while !received.ends_with(b"0\r\n\r\n") {
-        let bytes = client.read_at_most(1000);
-        assert!(!bytes.is_empty(), "the stream ended early");
-        received.extend(bytes);
-    }
+    read_until(&mut client, "0\r\n\r\n");
 }
 
 #[test]
@@ -46,6 +65,38 @@
     assert!(client.read().is_none(), "the broken stream looked complete");
 }
 
+/// Guards against a reset that is taken for the orderly end of a response that the end of the connection delimits: the
+/// client got the part before it as a complete response.
+#[test]
+fn a_stream_without_length_that_is_reset_reaches_the_client_as_incomplete() {
+    let parts = vec![HEAD_WITHOUT_LENGTH.into(), b"one".to_vec()];
+    let endpoint = ScriptedEndpoint::start(EndpointBehavior::SendParts { parts, end: ConnectionEnd::Reset });
+    let (_discovery, _controller, setup) = proxy_setup(&[endpoint.address]);
+    let proxy = RunningProxy::start(&setup);
+    let mut client = proxy.client();
+    client.send(&request("GET", "/tail", 5000, ""));
+    endpoint.release();
+    endpoint.release();
+    read_until(&mut client, "one");
+    endpoint.release();
+    let rest = read_to_end(&mut client);
+    assert_eq!(String::from_utf8_lossy(rest.trim_ascii()), "", "the reset stream looked complete");
+}
+
+/// Guards against an orderly close that is taken for the loss of the connection.
+#[test]
+fn a_stream_without_length_that_is_closed_reaches_the_client_as_complete() {
+    let parts = vec![HEAD_WITHOUT_LENGTH.into(), b"one".to_vec(), b"two".to_vec()];
+    let endpoint = ScriptedEndpoint::start(EndpointBehavior::SendParts { parts, end: ConnectionEnd::Close });
+    let (_discovery, _controller, setup) = proxy_setup(&[endpoint.address]);
+    let proxy = RunningProxy::start(&setup);
+    let mut client = proxy.client();
+    client.send(&request("GET", "/tail", 5000, ""));
+    (0..4).for_each(|_| endpoint.release());
+    let response = client.read().expect("the response is complete");
+    assert_eq!((response.status(), response.body), (200, b"onetwo".to_vec()));
+}
+
 /// Guards against a long stream that breaks off for a slow client: the parts that were read in one turn of the event
 /// loop overflowed the client's output buffer before reading was paused.
 #[test]
--- a/crates/test-support/src/scripted_servers.rs
+++ b/crates/test-support/src/scripted_servers.rs
@@ -15,7 +15,7 @@
 
 pub use client::{TestClient, request, request_id};
 pub use documents::{endpoint_json, endpoint_list_json, rollout_event_json, rollout_state_json};
-pub use endpoint::{EndpointBehavior, ScriptedEndpoint};
+pub use endpoint::{ConnectionEnd, EndpointBehavior, ScriptedEndpoint, reset_on_close};
 pub use message::{ReceivedMessage, read_message};
 pub use running_proxy::{RunningProxy, free_address, proxy_executable};
 pub use setup::{ProxySetup, write_config_file};
--- a/crates/test-support/src/scripted_servers/endpoint.rs
+++ b/crates/test-support/src/scripted_servers/endpoint.rs
@@ -3,10 +3,22 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use socket2::SockRef;
 
 use super::lock;
 use super::message::{ReceivedMessage, read_message, response_bytes};
 
+/// How an endpoint ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// An orderly close.
+    Close,
+    /// A reset, as when its process dies.
+    Reset,
+}
+
 /// Reaction of an endpoint to a request.
 #[derive(Debug, Clone)]
 pub enum EndpointBehavior {
@@ -20,6 +32,14 @@
     SendRaw(Vec<u8>),
     /// These bytes, then the end of the connection.
     SendRawAndClose(&'static str),
+    /// These parts of a response, valid HTTP or not, and then the end of the connection. Each part and the end wait for a
+    /// call of [`ScriptedEndpoint::release`].
+    SendParts {
+        /// The parts.
+        parts: Vec<Vec<u8>>,
+        /// The end of the connection.
+        end: ConnectionEnd,
+    },
     /// A response with status 200, after a call of [`ScriptedEndpoint::release`].
     WaitForRelease,
     /// A response that states that the request was not started, after a call of [`ScriptedEndpoint::release`].
@@ -114,6 +134,17 @@
                 let _ = stream.write_all(response.as_bytes());
                 return;
             }
+            EndpointBehavior::SendParts { parts, end } => {
+                for part in parts {
+                    wait_for_release();
+                    let _ = stream.write_all(&part);
+                }
+                wait_for_release();
+                if end == ConnectionEnd::Reset {
+                    reset_on_close(&stream);
+                }
+                return;
+            }
             EndpointBehavior::WaitForRelease => {
                 wait_for_release();
                 response_bytes(200, "", b"late")
@@ -145,3 +176,11 @@
     }
     wait_for_release();
 }
+
+/// Makes the close of a connection reset it.
+///
+/// # Panics
+/// When the option can't be set.
+pub fn reset_on_close(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("the linger time is set");
+}
