A whole stream is no longer cut off when its connection closes right behind it

Callers saw: a streamed response of any framing whose last part of over 64 KiB arrived in one turn with the close of its connection was cut off at 64 KiB of that part, without its last chunk.

Cause: the reader moves at most 64 KiB before they are taken. The exchange took each response that was incomplete at the end of the input for truncated, also while the input buffer held its rest.

Change: the reader rejects a truncated response itself, and asks for its body to be taken first where the buffer holds more than it has space for. The exchange goes on with what the buffer holds.

Why it works: truncation is decided where the framing and the unread bytes are both known.

--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -99,6 +99,8 @@
     /// ring. An orderly close completes a response that the end of the connection delimits; the loss of the connection
     /// does not, as the rest of the response may be lost, too.
     ///
+    /// If the input has ended and the response is incomplete, its body has to be taken before the rest can be read.
+    ///
     /// # Errors
     /// The response is rejected or truncated; nothing more can be read from the connection then.
     pub fn read(&mut self, ring: &mut Ring, input: InputState) -> Result<Parsed<Response>, MessageError> {
@@ -122,7 +124,7 @@
                 .take()
                 .map_or(Parsed::Incomplete, |partial| Parsed::Complete(partial.response)));
         }
-        if input.has_ended() && ring.is_empty() {
+        if input.has_ended() && !self.must_take_body_first(ring) {
             return Err(MessageError::Truncated);
         }
         Ok(Parsed::Incomplete)
@@ -134,6 +136,15 @@
         until_close && ring.is_empty() && input == InputState::Closed
     }
 
+    /// Returns whether the body that has been read leaves no space for the rest, which the ring holds. Only the body of
+    /// a successful response is taken while it arrives.
+    fn must_take_body_first(&self, ring: &Ring) -> bool {
+        let is_full = |partial: &PartialResponse| {
+            partial.response.status == 200 && partial.response.body.len() >= self.max_body_bytes
+        };
+        self.mode == BodyMode::Streamed && !ring.is_empty() && self.partial.as_ref().is_some_and(is_full)
+    }
+
     /// Reads the head of the final response, and skips interim responses before it.
     fn read_head(&mut self, ring: &mut Ring) -> Result<Option<PartialResponse>, MessageError> {
         while let Some(head) = response_head(ring)? {
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -110,7 +110,7 @@
                     return ExchangeProgress::Response { response, reusable };
                 }
                 Err(_) => return self.connection_lost(),
-                Ok(Parsed::Incomplete) if input.has_ended() || write_failed => return self.connection_lost(),
+                Ok(Parsed::Incomplete) if write_failed => return self.connection_lost(),
                 Ok(Parsed::Incomplete) if connection.can_read_more() => {}
                 Ok(Parsed::Incomplete) => return ExchangeProgress::Pending,
             }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -13,7 +13,7 @@
 
 use super::exchange::{Purpose, REUSE_DELAY};
 use super::outcome::{load_report, response_outcome};
-use super::{Upstream, UpstreamEvent, UpstreamRequest};
+use super::{MAX_BODY_BYTES, Upstream, UpstreamEvent, UpstreamRequest};
 use crate::clock::SECOND;
 use crate::discovery::EndpointAddress;
 use crate::readiness::{ConnId, ConnIds, Handle, TurnInputs};
@@ -356,3 +356,31 @@
         }
     }
 }
+
+/// Responses of 200 with the same body in each framing, with the head of each.
+fn in_each_framing(body: &str) -> [String; 3] {
+    let (length, size) = (body.len(), format!("{:x}", body.len()));
+    [
+        format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{body}"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\n{body}\r\n0\r\n\r\n"),
+    ]
+}
+
+/// Guards against a complete stream that is cut off because its connection is closed while more of it has been read than
+/// is taken at once.
+#[test]
+fn a_stream_that_is_closed_is_forwarded_to_its_last_byte() {
+    for body_bytes in [MAX_BODY_BYTES - 1, MAX_BODY_BYTES, MAX_BODY_BYTES + 1, 80_000, 90_000] {
+        for response in in_each_framing(&"x".repeat(body_bytes)) {
+            let mut fixture = Fixture::new();
+            fixture.attempt_streamed(1, NOW);
+            let mut endpoint = fixture.accept();
+            write_text(&mut endpoint, &response);
+            drop(endpoint);
+            let (forwarded, outcome) = fixture.finish_attempt();
+            let head: String = response.chars().take_while(|char| *char != 'x').collect();
+            assert_eq!((forwarded, outcome), (body_bytes, Outcome::Success), "{head:?}");
+        }
+    }
+}
--- a/crates/proxy/tests/proxy/streaming.rs
+++ b/crates/proxy/tests/proxy/streaming.rs
@@ -11,6 +11,9 @@
 /// Head of a response that the end of the connection delimits.
 const HEAD_WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
+/// Size of the parts of a long stream, in bytes.
+const CHUNK_BYTES: usize = 64 * 1024;
+
 /// Reads the bytes that arrive up to the first occurrence of `text`, and possibly more.
 fn read_until(client: &mut TestClient, text: &str) -> Vec<u8> {
     let mut received = Vec::new();
@@ -97,13 +100,29 @@
     assert_eq!((response.status(), response.body), (200, b"onetwo".to_vec()));
 }
 
+/// Reads a chunked response of `x`s slowly, up to its last chunk or the end of the connection. Returns the size of its
+/// body, in bytes, and whether the last chunk has arrived.
+fn read_stream_slowly(client: &mut TestClient) -> (usize, bool) {
+    const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+    let (mut body_bytes, mut end) = (0, Vec::new());
+    loop {
+        let bytes = client.read_at_most(CHUNK_BYTES);
+        body_bytes += bytes.iter().filter(|byte| **byte == b'x').count();
+        end.extend_from_slice(&bytes);
+        end.drain(..end.len().saturating_sub(LAST_CHUNK.len()));
+        let is_complete = end == LAST_CHUNK;
+        if is_complete || bytes.is_empty() {
+            return (body_bytes, is_complete);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Guards against a long stream that breaks off for a slow client: the parts that were read in one turn of the event
 /// loop overflowed the client's output buffer before reading was paused.
 #[test]
 fn a_long_stream_reaches_a_client_that_reads_slowly() {
-    const CHUNK_BYTES: usize = 64 * 1024;
     const CHUNKS: usize = 200;
-    const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
     let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(CHUNK_BYTES));
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let response = format!("{head}{}0\r\n\r\n", chunk.repeat(CHUNKS));
@@ -112,14 +131,23 @@
     let proxy = RunningProxy::start(&setup);
     let mut client = proxy.client();
     client.send(&request("GET", "/tail", 25_000, ""));
-    let (mut body_bytes, mut end) = (0, Vec::new());
-    while !end.ends_with(LAST_CHUNK) {
-        let bytes = client.read_at_most(CHUNK_BYTES);
-        assert!(!bytes.is_empty(), "the stream broke off after {body_bytes} bytes");
-        body_bytes += bytes.iter().filter(|byte| **byte == b'x').count();
-        end.extend(bytes);
-        end.drain(..end.len().saturating_sub(LAST_CHUNK.len()));
-        std::thread::sleep(Duration::from_millis(5));
+    assert_eq!(read_stream_slowly(&mut client), (CHUNK_BYTES * CHUNKS, true));
+}
+
+/// Guards against the end of a connection that is handled before the bytes that wait for a slow client.
+#[test]
+fn a_slow_client_gets_all_of_a_long_stream_before_a_close_and_no_last_chunk_after_a_reset() {
+    const BODY_BYTES: usize = 40 * CHUNK_BYTES;
+    for (end, is_complete) in [(ConnectionEnd::Close, true), (ConnectionEnd::Reset, false)] {
+        let parts = vec![HEAD_WITHOUT_LENGTH.into(), vec![b'x'; BODY_BYTES]];
+        let endpoint = ScriptedEndpoint::start(EndpointBehavior::SendParts { parts, end });
+        let (_discovery, _controller, setup) = proxy_setup(&[endpoint.address]);
+        let proxy = RunningProxy::start(&setup);
+        let mut client = proxy.client();
+        client.send(&request("GET", "/tail", 25_000, ""));
+        (0..3).for_each(|_| endpoint.release());
+        let (body_bytes, has_last_chunk) = read_stream_slowly(&mut client);
+        assert_eq!(has_last_chunk, is_complete, "{end:?} after {body_bytes} bytes");
+        assert!(body_bytes == BODY_BYTES || !is_complete, "{body_bytes} bytes before the last chunk");
     }
-    assert_eq!(body_bytes, CHUNK_BYTES * CHUNKS);
 }
