A stream from a silent endpoint ends at its idle limit

Callers saw: a streamed response from an endpoint that vanished (connection open and silent) never ended; its attempt and both connections stayed in use.

Cause: each look at a stream restarted its idle limit of 60 s, with or without bytes, and the check of the limit looks for unread bytes first. So the limit never passed.

Change: the limit restarts as the response starts, with bytes received, and as reading is paused for a slow client or goes on; nothing else moves it.

Why it works: a look that finds nothing leaves the deadline where it was, so that the check sees it.

Measured: a_stream_without_a_byte_for_the_idle_limit_is_lost failed before (still open 60 s after the last byte, at times that the test sets), and passes now with the other 10 tests of upstream.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -19,7 +19,7 @@
 use crate::http_exchange::ExchangeProgress;
 use crate::readiness::ConnId;
 pub(crate) use event::{UpstreamEvent, UpstreamRequest};
-use exchange::{Advance, CompletedResponse, Purpose, STREAM_IDLE_TIMEOUT, UpstreamConnection};
+use exchange::{Advance, CompletedResponse, Purpose, UpstreamConnection};
 use outcome::{load_report, response_outcome};
 use pool::ConnectionPool;
 
@@ -233,7 +233,7 @@
             };
             if active.is_streaming && paused {
                 // Reading is paused because of a slow client, so the endpoint's silence does not count.
-                active.deadline = now + STREAM_IDLE_TIMEOUT;
+                active.restart_idle_limit(now);
             }
             match active.expired_outcome(now) {
                 Some(outcome) => self.finish(id, outcome, None, now, events),
@@ -309,6 +309,9 @@
         let Some(&connection_id) = self.attempts.get(&AttemptKey { request: id, attempt }) else { return };
         if let Some(connection) = self.pool.get_mut(connection_id) {
             connection.paused = paused;
+            if let Some(active) = connection.active.as_mut().filter(|active| active.is_streaming) {
+                active.restart_idle_limit(now);
+            }
             self.resume(connection_id, now, events);
         }
     }
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -80,6 +80,12 @@
         })
     }
 
+    /// Lets the idle limit of a streamed response begin at `now`. The entry in `Upstream::deadlines` is not moved; the new
+    /// deadline is applied when that entry is due.
+    pub(super) fn restart_idle_limit(&mut self, now: Micros) {
+        self.deadline = now + STREAM_IDLE_TIMEOUT;
+    }
+
     /// Returns the headers of a successful response that has just started.
     fn started_headers(&mut self) -> Option<Headers> {
         if self.is_streaming {
@@ -136,16 +142,15 @@
         if let Some(headers) = active.started_headers() {
             events.push(UpstreamEvent::ResponseStarted { id, attempt, headers });
             active.is_streaming = true;
+            active.restart_idle_limit(now);
         }
         if !active.is_streaming {
             return Advance::Progress(progress);
         }
         let bytes = active.take_body(&mut progress);
         let has_bytes = !bytes.is_empty();
-        // The entry in `Upstream::deadlines` is not moved; the new deadline is applied when that entry is
-        // due.
-        active.deadline = now + STREAM_IDLE_TIMEOUT;
         if has_bytes {
+            active.restart_idle_limit(now);
             events.push(UpstreamEvent::BodyPart { id, bytes });
         }
         if !matches!(progress, ExchangeProgress::Pending) {
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -11,7 +11,7 @@
 use garnetcrank_settings::Transport;
 use garnetcrank_test_support::scripted_servers::reset_on_close;
 
-use super::exchange::{Purpose, REUSE_DELAY};
+use super::exchange::{Purpose, REUSE_DELAY, STREAM_IDLE_TIMEOUT};
 use super::outcome::{load_report, response_outcome};
 use super::{MAX_BODY_BYTES, Upstream, UpstreamEvent, UpstreamRequest};
 use crate::clock::SECOND;
@@ -384,3 +384,28 @@
         }
     }
 }
+
+/// Guards against a stream that never ends because its endpoint has vanished: looking for unread bytes at the idle limit
+/// counted as progress.
+#[test]
+fn a_stream_without_a_byte_for_the_idle_limit_is_lost() {
+    let mut fixture = Fixture::new();
+    fixture.attempt_streamed(1, NOW);
+    let mut endpoint = fixture.accept();
+    write_text(&mut endpoint, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    fixture.wait_for_bytes();
+    fixture.report_ready(NOW);
+    // The last byte arrives after the attempt's own deadline, which no longer counts.
+    let last_byte_at = NOW + 10 * SECOND;
+    fixture.upstream.expire_attempts(last_byte_at - 1, &mut fixture.events);
+    write_text(&mut endpoint, "x");
+    fixture.wait_for_bytes();
+    fixture.report_ready(last_byte_at);
+    for (at, has_ended) in [(STREAM_IDLE_TIMEOUT - 1, false), (STREAM_IDLE_TIMEOUT, true)] {
+        fixture.events.clear();
+        fixture.report_ready(last_byte_at + at);
+        fixture.upstream.expire_attempts(last_byte_at + at, &mut fixture.events);
+        assert_eq!(!fixture.events.is_empty(), has_ended, "{at} us after the last byte");
+    }
+    assert_eq!(fixture.completed(), [(1, Outcome::ConnectionLost)]);
+}
