An error response to a watch has no events, however it ends

Callers saw: lines of an error response that arrived in one read with its end were taken for events of the watch stream, and the backoff began anew.

Cause: the status was that of the response being read. Once it was complete or rejected, the watch stream no longer got it, and kept the lines.

Change: the stream's reader keeps the status and drops the body of an error response. The status is the reason for the end of the stream, before the way in which it ended.

Why it works: what a line is worth is decided where its response's head was read.

Measured: an_error_response_has_no_events_however_it_ends failed before (the line of a complete 503 was an event) and passes now; a second test shows that the log tells a close from a reset.

--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -9,10 +9,14 @@
 /// Maximum number of body bytes that are taken at once.
 const READ_BYTES: usize = 64 * 1024;
 
+/// Status code of a successful response.
+const STATUS_OK: u16 = 200;
+
 /// Reads the lines of a long-lived response.
 #[derive(Debug)]
 pub struct StreamReader {
     reader: ResponseReader,
+    status: Option<u16>,
     max_line_bytes: usize,
     /// Start of the current, incomplete line.
     line: Vec<u8>,
@@ -21,19 +25,25 @@
 impl StreamReader {
     /// Creates a reader for lines of up to `max_line_bytes`, line end included.
     pub fn new(max_line_bytes: usize) -> Self {
-        StreamReader { reader: ResponseReader::streamed(READ_BYTES), max_line_bytes, line: Vec::new() }
+        StreamReader {
+            reader: ResponseReader::streamed(READ_BYTES),
+            status: None,
+            max_line_bytes,
+            line: Vec::new(),
+        }
     }
 
     /// Returns the status code, or `None` before the head of the response is complete.
     pub fn status(&self) -> Option<u16> {
-        self.reader.partial_response().map(|response| response.status)
+        self.status
     }
 
     /// Adds the complete lines to `lines`, without their line ends. `input` is the state of the connection after the
-    /// bytes in the ring. Returns whether the response has ended.
+    /// bytes in the ring. Returns whether the response has ended. The body of an error response has no lines of the
+    /// stream, so it is dropped.
     ///
     /// # Errors
-    /// The response is rejected, or a line is too long. Lines that were complete before are in `lines`.
+    /// The response is rejected or truncated, or a line is too long. Lines that were complete before are in `lines`.
     pub fn read(
         &mut self,
         ring: &mut Ring,
@@ -43,11 +53,16 @@
         loop {
             let length_before = ring.len();
             let (body, is_complete) = match self.reader.read(ring, input) {
-                Ok(Parsed::Complete(response)) => (response.body, Ok(true)),
-                Ok(Parsed::Incomplete) => (self.reader.take_body(), Ok(false)),
-                Err(error) => (self.reader.take_body(), Err(error)),
+                Ok(Parsed::Complete(response)) => {
+                    self.status = Some(response.status);
+                    (response.body, Ok(true))
+                }
+                Ok(Parsed::Incomplete) => (self.take_body(), Ok(false)),
+                Err(error) => (self.take_body(), Err(error)),
             };
-            self.split_lines(&body, lines)?;
+            if self.status == Some(STATUS_OK) {
+                self.split_lines(&body, lines)?;
+            }
             if is_complete? {
                 return Ok(true);
             }
@@ -57,6 +72,14 @@
         }
     }
 
+    /// Takes the part of the body that has been read, and notes the status.
+    fn take_body(&mut self) -> Vec<u8> {
+        if let Some(response) = self.reader.partial_response() {
+            self.status = Some(response.status);
+        }
+        self.reader.take_body()
+    }
+
     fn split_lines(&mut self, body: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), MessageError> {
         for part in body.split_inclusive(|byte| *byte == b'\n') {
             if self.line.len() + part.len() > self.max_line_bytes {
--- a/crates/proxy/src/watch_stream/open_stream.rs
+++ b/crates/proxy/src/watch_stream/open_stream.rs
@@ -90,15 +90,14 @@
                 _ => filled,
             };
             *any_bytes |= self.connection.input.len() > before;
-            let is_complete = match self.reader.read(&mut self.connection.input, input, lines) {
-                Err(MessageError::Truncated) => return Err(StreamEnd::of_input(input)),
-                read => read.map_err(StreamEnd::Unreadable)?,
-            };
+            let read = self.reader.read(&mut self.connection.input, input, lines);
             if let Some(status) = self.reader.status().filter(|status| *status != 200) {
-                // The body of an error response contains no events.
-                lines.clear();
                 return Err(StreamEnd::Status(status));
             }
+            let is_complete = match read {
+                Err(MessageError::Truncated) => return Err(StreamEnd::of_input(input)),
+                read => read.map_err(StreamEnd::Unreadable)?,
+            };
             if is_complete {
                 return Err(StreamEnd::Closed);
             }
--- a/crates/proxy/src/watch_stream/tests.rs
+++ b/crates/proxy/src/watch_stream/tests.rs
@@ -5,6 +5,7 @@
 
 use calloop::{EventLoop, Readiness};
 use garnetcrank_policy::api::Micros;
+use garnetcrank_test_support::scripted_servers::reset_on_close;
 
 use super::{FIRST_BYTE_TIMEOUT, ReconnectBackoff, WatchEvents, WatchStream, WatchTimeouts};
 use crate::clock::{MS, SECOND};
@@ -212,3 +213,48 @@
     let events = fixture.watch.retarget(other.local_addr().expect("an address"), fixture.now);
     assert_eq!(events.lines.len(), LINES);
 }
+
+/// Guards against lines of an error response that are taken for events where the response ends in the same read.
+#[test]
+fn an_error_response_has_no_events_however_it_ends() {
+    let bodies = [
+        "Connection: close\r\n\r\nevent\n",
+        "Content-Length: 6\r\n\r\nevent\n",
+        "Content-Length: 60\r\n\r\nevent\n",
+        "Transfer-Encoding: chunked\r\n\r\n6\r\nevent\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n6\r\nevent\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n6\r\nevent\n\r\nzz\r\n",
+    ];
+    for (body, is_reset) in bodies.into_iter().flat_map(|body| [(body, false), (body, true)]) {
+        let mut fixture = Fixture::new(1);
+        fixture.tick();
+        let mut stream = fixture.accept();
+        stream.write_all(format!("HTTP/1.1 503 Busy\r\n{body}").as_bytes()).expect("the peer writes");
+        if is_reset {
+            reset_on_close(&stream);
+        }
+        drop(stream);
+        wait_for_bytes(&fixture);
+        let events = fixture.receive();
+        assert!(events.lines.is_empty() && events.lost, "reset: {is_reset}, {body:?}: {events:?}");
+    }
+}
+
+/// Guards against the kind of the end of a connection being lost on its way to the log.
+#[test]
+fn the_reason_for_a_lost_watch_stream_tells_a_close_from_a_reset() {
+    for (is_reset, expected) in
+        [(false, "connection closed by the peer"), (true, "connection lost: connection reset")]
+    {
+        let (mut fixture, stream) = Fixture::connected(1);
+        if is_reset {
+            reset_on_close(&stream);
+        }
+        drop(stream);
+        wait_for_bytes(&fixture);
+        let open = fixture.watch.open.as_mut().expect("a connection");
+        open.connection.mark_readable();
+        let end = open.read_lines(&mut Vec::new()).end.expect("the connection has ended");
+        assert_eq!(end.to_string(), expected);
+    }
+}
