The command line: an answer that was cut off leaves the outcome unknown

Callers saw: exit code 3 ("no agent could carry out the command") after an agent had answered 200, where the answer had no length and was cut off.

Cause: the HTTP client reports no reset that ends an answer without a length, and an answer that can't be read counted as a request that had not arrived.

Change: after a 200 that can't be read the outcome is unknown (exit code 4).

Why it works: who answers has received the request; only a whole answer says what became of it.

Measured: a_request_whose_answer_is_cut_off_has_an_unknown_outcome failed before (3 instead of 4 for the answer without a length; framed answers gave 4 before), and passes now.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -188,12 +188,14 @@
 }
 
 impl AttemptError {
-    /// Returns whether the agent may have received the request and has not answered. Without a connection it can't have
-    /// received it.
+    /// Returns whether the agent may have received the request without the outcome being known. Without a connection it
+    /// can't have received it. An answer that can't be read may be one that was cut off: the HTTP client reports no reset
+    /// at the end of an answer without a length.
     pub fn may_have_been_received(&self) -> bool {
         match &self.cause {
             AttemptErrorCause::Http(error) => !is_connect_error(error),
-            AttemptErrorCause::Json(_) | AttemptErrorCause::Unavailable(_) => false,
+            AttemptErrorCause::Json(_) => true,
+            AttemptErrorCause::Unavailable(_) => false,
         }
     }
 }
