The agent reports a peer's orderly close as such, no longer as a reset

Cause: a read of 0 bytes on an outbound connection to a peer was reported as ConnectionReset, so that the log could not tell a peer that closes from one that dies. Reads of frames report UnexpectedEof.

Change: a read of 0 bytes is UnexpectedEof here, too.

--- a/crates/agent/src/peer_transport/connection.rs
+++ b/crates/agent/src/peer_transport/connection.rs
@@ -13,6 +13,9 @@
 use super::{IDLE_TIMEOUT, with_timeout};
 use crate::peer_protocol::{self, Frame, PeerProtocolError};
 
+#[cfg(test)]
+mod tests;
+
 /// Time between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -113,7 +116,7 @@
 /// after its hello reply.
 fn read_error(read: std::io::Result<usize>) -> PeerProtocolError {
     match read {
-        Ok(0) => std::io::Error::from(std::io::ErrorKind::ConnectionReset).into(),
+        Ok(0) => std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into(),
         Ok(_) => PeerProtocolError::UnexpectedBytes,
         Err(error) => error.into(),
     }
