The kind of an end reaches the log and a counter when a stream is cut off

Cause: the error of an exchange said that its connection was lost, and no longer whether it was closed, reset or unreadable.

Change: ResponseError (closed early, lost with its kind, unreadable) is what an exchange and a watch stream report. A streamed response that is cut off gives the counter cut_off and one line a second at the most, with the reason: the error, the idle limit, or memory. Tests of all ways in which a stream ends stand in stream_ends.rs, its reading in stream_client.rs.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -139,6 +139,8 @@
     /// Attempts that did not begin because the client had disconnected, or had sent more behind its
     /// request than the input buffer holds.
     attempts_withheld: "withheld",
+    /// Streamed responses that were cut off on the endpoint's side.
+    streams_cut_off: "cut_off",
 }
 
 impl Counters {
--- a/crates/proxy/src/counters/tests.rs
+++ b/crates/proxy/src/counters/tests.rs
@@ -11,7 +11,7 @@
          no_descriptor=0 decided_anew=0 probes=0 discovery_reconnects=0 platform_reconnects=0 votes=0 \
          votes_counted=0 verdicts_passed_on=0 agent_reconnects=0 stale_news=0 reloads=0 \
          reloads_refused=0 longest_turn_us=0 peak_clients=0 peak_machine_conns=0 peak_held=0 \
-         bad_shed=0 peak_buffer_bytes=0 deferred=0 withheld=0";
+         bad_shed=0 peak_buffer_bytes=0 deferred=0 withheld=0 cut_off=0";
     assert_eq!(Counters::default().to_string(), line);
 }
 
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -1,8 +1,11 @@
 //! Exchange of one HTTP request and its response on a connection to a server.
 
+use std::io;
+
 use garnetcrank_http::{Parsed, Response, ResponseReader};
 
 use crate::connection::Connection;
+use crate::response_error::ResponseError;
 
 /// Stage of an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,7 +42,7 @@
     NeverSent,
     /// After the request was sent, the connection broke or the response was invalid. The request may have taken
     /// effect.
-    ConnectionLost,
+    ConnectionLost(ResponseError),
 }
 
 impl HttpExchange {
@@ -82,26 +85,26 @@
                 Err(_) => return ExchangeProgress::NeverSent,
             }
         }
-        let mut write_failed = false;
+        let mut write_error = None;
         if self.stage == ExchangeStage::Sending {
             match connection.flush() {
                 Ok(true) => self.stage = ExchangeStage::Receiving,
                 Ok(false) => {}
                 // A response may have arrived before the connection broke, so the input is still read below.
-                Err(_) => write_failed = true,
+                Err(error) => write_error = Some(error.kind()),
             }
         }
-        self.read(connection, write_failed)
+        self.read(connection, write_error)
     }
 
-    fn read(&mut self, connection: &mut Connection, write_failed: bool) -> ExchangeProgress {
+    fn read(&mut self, connection: &mut Connection, write_error: Option<io::ErrorKind>) -> ExchangeProgress {
         loop {
             let input = connection.fill();
             match self.reader.read(&mut connection.input, input) {
                 // A server does not respond with 200 to a request that it has not received completely, so these bytes
                 // are not the response to this request.
                 Ok(Parsed::Complete(response)) if !self.request_sent() && response.status == 200 => {
-                    return self.connection_lost();
+                    return ExchangeProgress::NeverSent;
                 }
                 Ok(Parsed::Complete(response)) => {
                     let nothing_follows =
@@ -109,15 +112,24 @@
                     let reusable = nothing_follows && response.keep_alive;
                     return ExchangeProgress::Response { response, reusable };
                 }
-                Err(_) => return self.connection_lost(),
-                Ok(Parsed::Incomplete) if write_failed => return self.connection_lost(),
-                Ok(Parsed::Incomplete) if connection.can_read_more() => {}
-                Ok(Parsed::Incomplete) => return ExchangeProgress::Pending,
+                Err(error) => return self.failed(ResponseError::new(error, input)),
+                Ok(Parsed::Incomplete) => {
+                    if let Some(kind) = write_error {
+                        return self.failed(ResponseError::ConnectionLost(kind));
+                    }
+                    if !connection.can_read_more() {
+                        return ExchangeProgress::Pending;
+                    }
+                }
             }
         }
     }
 
-    fn connection_lost(&self) -> ExchangeProgress {
-        if self.request_sent() { ExchangeProgress::ConnectionLost } else { ExchangeProgress::NeverSent }
+    fn failed(&self, error: ResponseError) -> ExchangeProgress {
+        if self.request_sent() {
+            ExchangeProgress::ConnectionLost(error)
+        } else {
+            ExchangeProgress::NeverSent
+        }
     }
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -25,6 +25,7 @@
 mod proxy;
 mod readiness;
 mod release_controller;
+mod response_error;
 mod runtime;
 mod turn;
 mod unary_call;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -71,6 +71,7 @@
     upstream_events: Vec<UpstreamEvent>,
     bad_request_lines: LineInterval,
     withheld_attempt_lines: LineInterval,
+    cut_off_lines: LineInterval,
     exposure_cap: Option<ExposureCap>,
 }
 
--- a/crates/proxy/src/proxy/startup.rs
+++ b/crates/proxy/src/proxy/startup.rs
@@ -129,6 +129,7 @@
             upstream_events: Vec::new(),
             bad_request_lines: LineInterval::default(),
             withheld_attempt_lines: LineInterval::default(),
+            cut_off_lines: LineInterval::default(),
             exposure_cap: None,
         }
     }
--- a/crates/proxy/src/proxy/upstream_events.rs
+++ b/crates/proxy/src/proxy/upstream_events.rs
@@ -1,10 +1,11 @@
 //! Processes events of connections to endpoints: responses, body parts and health checks.
 
 use garnetcrank_http::Headers;
-use garnetcrank_policy::api::{AttemptResult, Event, Micros, RequestId};
+use garnetcrank_policy::api::{AttemptResult, EndpointId, Event, Micros, RequestId};
+use tracing::warn;
 
 use super::Proxy;
-use crate::upstream::UpstreamEvent;
+use crate::upstream::{CutOffReason, UpstreamEvent};
 
 impl Proxy {
     /// Processes all queued events.
@@ -20,6 +21,7 @@
                 self.on_response_started(id, attempt, headers, now);
             }
             UpstreamEvent::BodyPart { id, bytes } => self.forward_body_part(id, &bytes, now),
+            UpstreamEvent::StreamCutOff { endpoint, reason } => self.on_stream_cut_off(endpoint, reason, now),
             UpstreamEvent::AttemptCompleted { id, attempt, outcome, latency, load_report, response } => {
                 self.counters.record_outcome(outcome);
                 let result =
@@ -39,6 +41,14 @@
         }
     }
 
+    fn on_stream_cut_off(&mut self, endpoint: EndpointId, reason: CutOffReason, now: Micros) {
+        self.counters.streams_cut_off += 1;
+        if self.cut_off_lines.may_log(now) {
+            let total = self.counters.streams_cut_off;
+            warn!(total, endpoint = endpoint.0, %reason, "streamed response cut off");
+        }
+    }
+
     fn on_response_started(&mut self, id: RequestId, attempt: usize, headers: Headers, now: Micros) {
         let accepted = self.shared.dispatcher().on_response_started(id, attempt, headers, &mut self.commands);
         if !accepted {
--- a/crates/proxy/src/unary_call.rs
+++ b/crates/proxy/src/unary_call.rs
@@ -90,7 +90,7 @@
             ExchangeProgress::Pending => None,
             ExchangeProgress::Response { response, .. } => Some(CallOutcome::Response(response)),
             ExchangeProgress::NeverSent => Some(CallOutcome::NeverSent),
-            ExchangeProgress::ConnectionLost => Some(CallOutcome::Unknown),
+            ExchangeProgress::ConnectionLost(_) => Some(CallOutcome::Unknown),
         }
     }
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -18,7 +18,7 @@
 use crate::discovery::EndpointAddress;
 use crate::http_exchange::ExchangeProgress;
 use crate::readiness::ConnId;
-pub(crate) use event::{UpstreamEvent, UpstreamRequest};
+pub(crate) use event::{CutOffReason, UpstreamEvent, UpstreamRequest};
 use exchange::{Advance, CompletedResponse, Purpose, UpstreamConnection};
 use outcome::{load_report, response_outcome};
 use pool::ConnectionPool;
@@ -168,7 +168,10 @@
         match progress {
             ExchangeProgress::Pending => {}
             ExchangeProgress::NeverSent => self.finish(id, Outcome::ConnectFailed, None, now, events),
-            ExchangeProgress::ConnectionLost => self.finish(id, Outcome::ConnectionLost, None, now, events),
+            ExchangeProgress::ConnectionLost(error) => {
+                self.report_cut_off(id, error.into(), events);
+                self.finish(id, Outcome::ConnectionLost, None, now, events);
+            }
             ExchangeProgress::Response { response, reusable } => {
                 let outcome = response_outcome(&response);
                 self.finish(id, outcome, Some(CompletedResponse { response, reusable }), now, events);
@@ -176,6 +179,14 @@
         }
     }
 
+    /// Reports why a response is cut off, if it is being streamed.
+    fn report_cut_off(&self, id: ConnId, reason: CutOffReason, events: &mut Vec<UpstreamEvent>) {
+        let Some(connection) = self.pool.get(id) else { return };
+        if connection.is_streaming() {
+            events.push(UpstreamEvent::StreamCutOff { endpoint: connection.endpoint, reason });
+        }
+    }
+
     /// Ends an exchange and reports its outcome. The connection is kept idle if it can be reused, else
     /// closed.
     fn finish(
@@ -236,7 +247,10 @@
                 active.restart_idle_limit(now);
             }
             match active.expired_outcome(now) {
-                Some(outcome) => self.finish(id, outcome, None, now, events),
+                Some(outcome) => {
+                    self.report_cut_off(id, CutOffReason::Idle, events);
+                    self.finish(id, outcome, None, now, events);
+                }
                 None => {
                     active.check_at = active.deadline;
                     self.deadlines.insert((active.check_at, id));
@@ -334,6 +348,7 @@
     /// Ends the exchange that takes the most memory, and closes its connection.
     pub(crate) fn end_largest_exchange(&mut self, now: Micros, events: &mut Vec<UpstreamEvent>) {
         let Some((_, id)) = self.largest_exchange() else { return };
+        self.report_cut_off(id, CutOffReason::Memory, events);
         let request_sent = self.pool.get(id).is_some_and(UpstreamConnection::request_sent);
         let outcome = if request_sent { Outcome::ConnectionLost } else { Outcome::NotSent };
         self.finish(id, outcome, None, now, events);
--- a/crates/proxy/src/upstream/event.rs
+++ b/crates/proxy/src/upstream/event.rs
@@ -3,6 +3,8 @@
 use garnetcrank_http::{Headers, Request, Response};
 use garnetcrank_policy::api::{EndpointId, Micros, Outcome, RequestId};
 
+use crate::response_error::ResponseError;
+
 /// An attempt to send a request to an endpoint.
 pub(crate) struct UpstreamRequest<'a> {
     /// The client's request.
@@ -19,6 +21,20 @@
     pub(crate) streamed: bool,
 }
 
+/// Reason why a response that is being streamed was cut off before its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum CutOffReason {
+    /// The rest of the response can't be read.
+    #[error(transparent)]
+    Response(#[from] ResponseError),
+    /// No byte arrived within the idle limit.
+    #[error("no byte within the idle limit")]
+    Idle,
+    /// The memory of the response was needed for others.
+    #[error("its memory was needed")]
+    Memory,
+}
+
 /// Event on a connection to an endpoint.
 #[derive(Debug)]
 pub(crate) enum UpstreamEvent {
@@ -38,6 +54,13 @@
         /// Bytes of the body.
         bytes: Vec<u8>,
     },
+    /// The end of a streamed response before it was complete. The end of its attempt follows.
+    StreamCutOff {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Reason for the end.
+        reason: CutOffReason,
+    },
     /// The end of an attempt.
     AttemptCompleted {
         /// The client's request.
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -13,7 +13,7 @@
 
 use super::exchange::{Purpose, REUSE_DELAY, STREAM_IDLE_TIMEOUT};
 use super::outcome::{load_report, response_outcome};
-use super::{MAX_BODY_BYTES, Upstream, UpstreamEvent, UpstreamRequest};
+use super::{CutOffReason, MAX_BODY_BYTES, Upstream, UpstreamEvent, UpstreamRequest};
 use crate::clock::SECOND;
 use crate::discovery::EndpointAddress;
 use crate::readiness::{ConnId, ConnIds, Handle, TurnInputs};
@@ -145,12 +145,21 @@
         }
     }
 
+    /// Returns why a stream was cut off, if one was.
+    fn cut_off_reason(&self) -> Option<CutOffReason> {
+        self.events.iter().find_map(|event| match event {
+            UpstreamEvent::StreamCutOff { reason, .. } => Some(*reason),
+            _ => None,
+        })
+    }
+
     fn completed(&mut self) -> Vec<(u32, Outcome)> {
         let outcome_of = |event| match event {
-            UpstreamEvent::AttemptCompleted { id, outcome, .. } => (id.0, outcome),
+            UpstreamEvent::AttemptCompleted { id, outcome, .. } => Some((id.0, outcome)),
+            UpstreamEvent::StreamCutOff { .. } => None,
             other => panic!("{other:?}"),
         };
-        self.events.drain(..).map(outcome_of).collect()
+        self.events.drain(..).filter_map(outcome_of).collect()
     }
 }
 
@@ -401,11 +410,26 @@
     write_text(&mut endpoint, "x");
     fixture.wait_for_bytes();
     fixture.report_ready(last_byte_at);
-    for (at, has_ended) in [(STREAM_IDLE_TIMEOUT - 1, false), (STREAM_IDLE_TIMEOUT, true)] {
+    for (at, expected) in [(STREAM_IDLE_TIMEOUT - 1, None), (STREAM_IDLE_TIMEOUT, Some(CutOffReason::Idle))] {
         fixture.events.clear();
         fixture.report_ready(last_byte_at + at);
         fixture.upstream.expire_attempts(last_byte_at + at, &mut fixture.events);
-        assert_eq!(!fixture.events.is_empty(), has_ended, "{at} us after the last byte");
+        assert_eq!(fixture.cut_off_reason(), expected, "{at} us after the last byte");
     }
     assert_eq!(fixture.completed(), [(1, Outcome::ConnectionLost)]);
 }
+
+/// Guards against a stream that gives way to others and is not reported as cut off.
+#[test]
+fn a_stream_whose_memory_is_needed_is_cut_off() {
+    let mut fixture = Fixture::new();
+    fixture.attempt_streamed(1, NOW);
+    let mut endpoint = fixture.accept();
+    write_text(&mut endpoint, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx");
+    fixture.wait_for_bytes();
+    fixture.report_ready(NOW);
+    fixture.events.clear();
+    fixture.upstream.end_largest_exchange(NOW, &mut fixture.events);
+    assert_eq!(fixture.cut_off_reason(), Some(CutOffReason::Memory));
+    assert_eq!(fixture.completed(), [(1, Outcome::ConnectionLost)]);
+}
--- a/crates/proxy/src/watch_stream/open_stream.rs
+++ b/crates/proxy/src/watch_stream/open_stream.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::Connection;
 use crate::readiness::ConnId;
+use crate::response_error::ResponseError;
 
 /// Connection of a watch stream, with the reader of its response.
 pub(super) struct OpenStream {
@@ -25,22 +26,8 @@
     ConnectFailed(io::Error),
     #[error("response with status {0}")]
     Status(u16),
-    #[error("connection closed by the peer")]
-    Closed,
-    #[error("connection lost: {0}")]
-    Lost(io::ErrorKind),
-    #[error("unreadable response: {0}")]
-    Unreadable(MessageError),
-}
-
-impl StreamEnd {
-    /// Returns the reason for the end of a response that lacks its last bytes.
-    fn of_input(input: InputState) -> Self {
-        match input {
-            InputState::Lost(kind) => StreamEnd::Lost(kind),
-            InputState::Open | InputState::Closed => StreamEnd::Closed,
-        }
-    }
+    #[error(transparent)]
+    Response(#[from] ResponseError),
 }
 
 /// Result of a read.
@@ -94,15 +81,9 @@
             if let Some(status) = self.reader.status().filter(|status| *status != 200) {
                 return Err(StreamEnd::Status(status));
             }
-            let is_complete = match read {
-                Err(MessageError::Truncated) => return Err(StreamEnd::of_input(input)),
-                read => read.map_err(StreamEnd::Unreadable)?,
-            };
-            if is_complete {
-                return Err(StreamEnd::Closed);
-            }
-            if input.has_ended() {
-                return Err(StreamEnd::of_input(input));
+            let is_complete = read.map_err(|error| ResponseError::new(error, input))?;
+            if is_complete || input.has_ended() {
+                return Err(ResponseError::new(MessageError::Truncated, input).into());
             }
             if !self.connection.can_read_more() {
                 return Ok(());
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -16,6 +16,8 @@
 mod seeded_faults;
 mod short_deadlines;
 mod shutdown;
+mod stream_client;
+mod stream_ends;
 mod streaming;
 mod watch_streams;
 mod workers;
