--- a/crates/proxy/tests/proxy/stream_ends.rs
+++ b/crates/proxy/tests/proxy/stream_ends.rs
@@ -13,6 +13,9 @@
 /// Head of a response that the end of the connection delimits.
 const HEAD_WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
+/// Time between two requests for the proxy's counters.
+const COUNTERS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A proxy, and a client that has requested a streamed response from its endpoint.
 struct Fixture {
     endpoint: ScriptedEndpoint,
@@ -45,6 +48,17 @@
         (0..steps).for_each(|_| self.endpoint.release());
     }
 
+    /// Waits until the proxy logs a counter with this value.
+    fn wait_for_counter(&self, counter: &str) {
+        wait_until(counter, || {
+            self.proxy.signal("USR1");
+            std::thread::sleep(COUNTERS_INTERVAL);
+            let log = self.proxy.log();
+            let counters = log.lines().rfind(|line| line.contains("counters requests="));
+            counters.is_some_and(|line| line.split(' ').any(|pair| pair == counter))
+        });
+    }
+
     /// Asserts that the client's connection ends without the last chunk of the response.
     fn assert_cut_off(&mut self) {
         assert!(!read_stream_slowly(&mut self.client).1, "a response that was cut off looks complete");
@@ -108,14 +122,19 @@
     let body = "x".repeat(BODY_BYTES);
     let mut fixture = Fixture::new(response_without_length(&[&body], ConnectionEnd::Close));
     fixture.release(3);
-    wait_until("the proxy gives the client up", || {
-        fixture.proxy.signal("USR1");
-        std::thread::sleep(Duration::from_millis(200));
-        fixture.proxy.log().lines().last().is_some_and(|line| line.contains(" left=1 "))
-    });
+    fixture.wait_for_counter("left=1");
     fixture.assert_cut_off();
 }
 
+/// Guards against an attempt that stays open for a client that has left in the middle of its response.
+#[test]
+fn a_client_that_leaves_a_stream_ends_its_attempt() {
+    let mut fixture = Fixture::after_first_part(&["one"], ConnectionEnd::Close);
+    fixture.client = fixture.proxy.client();
+    fixture.wait_for_counter("left=1");
+    fixture.wait_for_counter("withdrawn=1");
+}
+
 /// Guards against a stream that is ended because its endpoint is taken from the list.
 #[test]
 fn a_stream_goes_on_after_its_endpoint_has_been_removed() {
