A seeded test cuts off streams of all framings and judges what clients get

Need: the tests of how a stream ends name single cases; the release meets others nearby.

Change: seeded_streams.rs draws framing, size, cut, end (close or reset) and pause of each response from a seed in its path, and judges what the client got: no part looks complete (but for a close without a length, which nobody can tell), and no whole response is cut off. The reading of seeds is shared with seeded_faults.rs.

--- a/crates/proxy/tests/proxy/common.rs
+++ b/crates/proxy/tests/proxy/common.rs
@@ -1,5 +1,6 @@
 //! Setups that the socket tests of the proxy share.
 
+use std::ops::Range;
 use std::process::{Command, Output};
 use std::time::Duration;
 
@@ -12,6 +13,13 @@
 /// Time after which a response to a request of 1 s counts as lost.
 pub const LOST_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Returns the seeds that an environment variable names as `FIRST..LAST`, the last one not included, or the usual ones.
+pub fn seeds(variable: &str, usual: Range<u64>) -> Range<u64> {
+    let Ok(text) = std::env::var(variable) else { return usual };
+    let (first, last) = text.split_once("..").expect("FIRST..LAST");
+    first.parse().expect("a number")..last.parse().expect("a number")
+}
+
 pub fn respond_ok(body: &str) -> EndpointBehavior {
     EndpointBehavior::Respond(200, "X-Made-By: machine\r\n", body.as_bytes().to_vec())
 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod rollout;
 mod seeded_faults;
+mod seeded_streams;
 mod short_deadlines;
 mod shutdown;
 mod stream_client;
