How the input of a socket ends stands in a module of its own

Change: connection/end_tracker.rs records the ends that all calls report; connection.rs calls it. Behaviour and assertions are unchanged.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -1,9 +1,9 @@
 //! A TCP connection registered with the event loop, with one ring buffer for each direction.
 
+mod end_tracker;
 #[cfg(test)]
 mod tests;
 
-use std::cell::OnceCell;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -16,6 +16,7 @@
 
 use crate::readiness::{Handle, Source};
 use crate::turn::TurnQuota;
+use end_tracker::EndTracker;
 
 /// Size of the buffer for reading input that is dropped, in bytes.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
@@ -51,10 +52,7 @@
     /// Whether there may be unread input in the socket's buffer.
     readable: bool,
     /// Whether and how the input has ended, as far as it has been read.
-    input_state: InputState,
-    /// First error that the system reported for the socket, by whichever call. The system reports an error once, and
-    /// afterwards a read returns 0 bytes as after an orderly close.
-    socket_error: OnceCell<io::ErrorKind>,
+    end: EndTracker,
 }
 
 impl Connection {
@@ -89,8 +87,7 @@
             input: Ring::counted(input_bytes, &handle.memory),
             output: Ring::counted(output_bytes, &handle.memory),
             readable: false,
-            input_state: InputState::Open,
-            socket_error: OnceCell::new(),
+            end: EndTracker::new(),
         })
     }
 
@@ -133,7 +130,7 @@
     pub(crate) fn connected(&self) -> io::Result<bool> {
         match self.stream.take_error()? {
             Some(error) => {
-                self.record_error(&error);
+                self.end.on_error(&error);
                 Err(error)
             }
             None => Ok(self.stream.peer_addr().is_ok()),
@@ -147,7 +144,7 @@
         if self.can_read_more() {
             self.read_once();
         }
-        self.input_state
+        self.end.input()
     }
 
     /// Reads what has arrived, as far as the input buffer has space, and returns the status of the peer. It asks the
@@ -156,7 +153,7 @@
         self.readable = true;
         for _ in 0..MAX_STATUS_READS {
             if !self.has_unread_input() {
-                let has_ended = self.input_state.has_ended();
+                let has_ended = self.end.input().has_ended();
                 return if has_ended { PeerStatus::Disconnected } else { PeerStatus::Connected };
             }
             if self.input.free_bytes() == 0 {
@@ -175,29 +172,18 @@
     /// Records the result of a read. Returns the number of bytes read.
     fn record_read(&mut self, result: io::Result<usize>) -> usize {
         match result {
-            Ok(0) => self.input_state = self.state_at_end_of_input(),
+            Ok(0) => self.end.on_end_of_input(),
             Ok(read) => {
                 self.turn_quota.record_read(read);
                 return read;
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => self.input_state = InputState::Lost(self.record_error(&error)),
+            Err(error) => self.end.on_read_error(&error),
         }
         0
     }
 
-    /// Returns the state of the input after a read of 0 bytes. It is an orderly close unless the system has reported an
-    /// error of the socket before.
-    fn state_at_end_of_input(&self) -> InputState {
-        self.socket_error.get().map_or(InputState::Closed, |kind| InputState::Lost(*kind))
-    }
-
-    /// Records an error of the socket. Returns the kind of the first one.
-    fn record_error(&self, error: &io::Error) -> io::ErrorKind {
-        *self.socket_error.get_or_init(|| error.kind())
-    }
-
     /// Drops the input buffer and reads and drops further input, until at least `max` bytes have been dropped
     /// or nothing more may be read in this turn. Returns the number of dropped bytes, and whether no more
     /// input can be read.
@@ -209,7 +195,7 @@
             let result = (&*self.stream).read(&mut buffer);
             dropped += self.record_read(result);
         }
-        (dropped, self.input_state.has_ended())
+        (dropped, self.end.input().has_ended())
     }
 
     /// Returns whether more input may be available that the connection may read in this turn and has space
@@ -230,7 +216,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
-                    self.record_write_error(&error);
+                    self.end.on_write_error(&error);
                     return Err(error);
                 }
             }
@@ -238,18 +224,10 @@
         Ok(true)
     }
 
-    /// Records an error of a write. A broken pipe tells nothing new: the peer closed its sending direction before it reset
-    /// the connection, so that its input is complete, or the error of the socket has been reported before.
-    fn record_write_error(&self, error: &io::Error) {
-        if error.kind() != io::ErrorKind::BrokenPipe {
-            self.record_error(error);
-        }
-    }
-
     /// Returns whether there may be unread input in the socket's buffer, also if it may not be read in this
     /// turn.
     pub(crate) fn has_unread_input(&self) -> bool {
-        self.readable && !self.input_state.has_ended()
+        self.readable && !self.end.input().has_ended()
     }
 
     /// Returns whether the connection is open and has no unread input, neither in the input buffer nor in the
@@ -257,11 +235,11 @@
     pub(crate) fn is_open_without_input(&self) -> bool {
         match self.stream.peek(&mut [0]) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                !self.input_state.has_ended() && self.input.is_empty()
+                !self.end.input().has_ended() && self.input.is_empty()
             }
             Err(error) if error.kind() == io::ErrorKind::Interrupted => false,
             Err(error) => {
-                self.record_error(&error);
+                self.end.on_error(&error);
                 false
             }
             Ok(_) => false,
