--- a/crates/proxy/tests/proxy/stream_client.rs
+++ b/crates/proxy/tests/proxy/stream_client.rs
@@ -6,8 +6,8 @@
 
 /// Size of the parts of a long stream, in bytes.
 pub const CHUNK_BYTES: usize = 64 * 1024;
-/// The last chunk of a complete response.
-pub const LAST_CHUNK: &str = "0\r\n\r\n";
+/// The last chunk of a complete response, after the line end of the head or of the chunk before.
+pub const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
 
 /// Reads the bytes that arrive up to the first occurrence of `text`, and possibly more.
 pub fn read_until(client: &mut TestClient, text: &str) -> Vec<u8> {
--- a/crates/proxy/tests/proxy/stream_ends.rs
+++ b/crates/proxy/tests/proxy/stream_ends.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::common::{proxy_setup, respond_ok};
-use crate::stream_client::{CHUNK_BYTES, read_stream_slowly, read_until};
+use crate::stream_client::{CHUNK_BYTES, LAST_CHUNK, read_stream_slowly, read_until};
 
 /// Head of a response that the end of the connection delimits.
 const HEAD_WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
@@ -148,7 +148,7 @@
     let mut other_client = fixture.proxy.client();
     wait_until("responses from the other endpoint", || other_client.get().body == b"other");
     fixture.release(2);
-    let rest = read_until(&mut fixture.client, "0\r\n\r\n");
+    let rest = read_until(&mut fixture.client, LAST_CHUNK);
     assert!(String::from_utf8_lossy(&rest).contains("two"));
 }
 
