Test clients no longer take a time-out for the end of a connection

Cause: in the tests' client a read that waited for 30 s counted as the end of its connection, so that a test of a cut-off response could pass on one that stays open. Bytes before a reset were overlooked.

Change: such a wait fails the test, and is_closed looks at the bytes before any end. All tests that use the client became stricter by this; none was changed.

--- a/crates/test-support/src/scripted_servers/client.rs
+++ b/crates/test-support/src/scripted_servers/client.rs
@@ -1,6 +1,6 @@
 //! A client of the proxy.
 
-use std::io::{BufReader, ErrorKind, Read, Write};
+use std::io::{self, BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -29,21 +29,36 @@
     ids.next().expect("a request has an id")
 }
 
+/// A stream on which a read that takes longer than [`WAIT_TIMEOUT`] fails the test: that nothing arrives is neither the end
+/// of the connection nor an error of it.
+struct PatientStream(TcpStream);
+
+impl Read for PatientStream {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let result = self.0.read(buffer);
+        if let Err(error) = &result {
+            let has_waited = matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+            assert!(!has_waited, "within {WAIT_TIMEOUT:?}, neither bytes nor the end of the connection");
+        }
+        result
+    }
+}
+
 /// A client's connection.
 pub struct TestClient {
-    reader: BufReader<TcpStream>,
+    reader: BufReader<PatientStream>,
 }
 
 impl TestClient {
     /// Creates a client for an open connection.
     pub fn new(stream: TcpStream) -> TestClient {
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("the read timeout is set");
-        TestClient { reader: BufReader::new(stream) }
+        TestClient { reader: BufReader::new(PatientStream(stream)) }
     }
 
     /// Sends text unchanged. Returns whether the connection accepted it.
     pub fn send(&mut self, text: &str) -> bool {
-        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
+        self.reader.get_mut().0.write_all(text.as_bytes()).is_ok()
     }
 
     /// Sends as much of a text as the connection takes without waiting. Returns the number of bytes sent.
@@ -51,7 +66,7 @@
     /// # Panics
     /// When the connection fails.
     pub fn send_without_waiting(&mut self, text: &str) -> usize {
-        let stream = self.reader.get_mut();
+        let stream = &mut self.reader.get_mut().0;
         stream.set_nonblocking(true).expect("the mode is set");
         let mut sent = 0;
         while sent < text.len() {
@@ -66,6 +81,9 @@
     }
 
     /// Reads a response. Returns none if the connection ends before the response is complete.
+    ///
+    /// # Panics
+    /// When nothing arrives.
     pub fn read(&mut self) -> Option<ReceivedMessage> {
         read_message(&mut self.reader)
     }
@@ -81,14 +99,21 @@
         self.exchange(&request("GET", "/look", 9000, "")).expect("the proxy responds")
     }
 
-    /// Reads to the end of the connection. Returns false if bytes arrive before it. Errors, the read timeout
-    /// included, count as closed.
+    /// Reads to the end of the connection, which may be a reset. Returns false if bytes arrive before it.
+    ///
+    /// # Panics
+    /// When the connection stays open.
     pub fn is_closed(&mut self) -> bool {
         let mut remaining = Vec::new();
-        self.reader.read_to_end(&mut remaining).map_or(true, |_| remaining.is_empty())
+        // A reset ends the connection, too.
+        let _ = self.reader.read_to_end(&mut remaining);
+        remaining.is_empty()
     }
 
-    /// Reads the next bytes that arrive, up to `max`.
+    /// Reads the next bytes that arrive, up to `max`. Returns none at the end of the connection.
+    ///
+    /// # Panics
+    /// When nothing arrives.
     pub fn read_at_most(&mut self, max: usize) -> Vec<u8> {
         let mut bytes = vec![0; max];
         let read = self.reader.read(&mut bytes).unwrap_or(0);
