A stream that gives way for its memory is tested on the client's side, too

Names and comments of the new tests said "whole" where the field says "complete".

Change: a unit test shows that such a client gets no last chunk and no second response; the names follow.

--- a/crates/proxy/src/downstream/tests.rs
+++ b/crates/proxy/src/downstream/tests.rs
@@ -321,3 +321,21 @@
     let held = fixture.downstream.clients[&id].connection.input.len();
     assert_eq!(held, INPUT_RING_BYTES);
 }
+
+/// Guards against a stream that gives way to others for its memory and looks complete.
+#[test]
+fn a_client_whose_stream_gives_way_gets_no_last_chunk() {
+    let mut fixture = Fixture::accepted();
+    fixture.send(REQUEST);
+    fixture.events.clear();
+    let id = fixture.id();
+    assert!(fixture.downstream.mark_in_flight(id, RequestId(1)));
+    fixture.downstream.start_response(id, std::iter::empty());
+    fixture.downstream.send_body_part(id, b"part", NOW, &mut fixture.events);
+    let largest = fixture.downstream.largest_client().expect("one client is connected");
+    assert_eq!(largest.awaited_request, None, "a response that has begun is followed by no other");
+    fixture.events.clear();
+    fixture.downstream.disconnect(id, &mut fixture.events);
+    assert!(matches!(fixture.events[..], [DownstreamEvent::Disconnected(RequestId(1))]));
+    assert!(fixture.receive_all().ends_with("\r\n\r\n4\r\npart\r\n"));
+}
--- a/crates/proxy/src/upstream/tests/response_ends.rs
+++ b/crates/proxy/src/upstream/tests/response_ends.rs
@@ -1,4 +1,4 @@
-//! Tests of responses that end with their connection, at a limit or for want of memory.
+//! Tests of responses that end with their connection, at a limit or because their memory is needed.
 
 use garnetcrank_policy::api::Outcome;
 use garnetcrank_test_support::scripted_servers::reset_on_close;
--- a/crates/proxy/tests/proxy/seeded_streams.rs
+++ b/crates/proxy/tests/proxy/seeded_streams.rs
@@ -19,7 +19,7 @@
 /// Largest body, in bytes: several times what the proxy reads in a turn or holds for a client.
 const MAX_BODY_BYTES: usize = 500_000;
 const MAX_CHUNK_BYTES: usize = 20_000;
-/// One in so many responses is cut off, and one in so many connections is reset.
+/// Of this number of responses, one is cut off on average, and of this number of connections, one is reset.
 const CUT_OFF_EVERY: u32 = 4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,15 +58,15 @@
         StreamPlan { framing, body, response, sent_bytes, end, pause }
     }
 
-    fn is_whole(&self) -> bool {
+    fn is_sent_completely(&self) -> bool {
         self.sent_bytes == self.response.len()
     }
 
-    /// Returns why a response that reached a client is wrong, if it is. `None` stands for one without its last byte.
+    /// Returns why a response that reached a client is wrong, if it is. `None` is one without its end.
     fn judge(&self, received: Option<&ReceivedMessage>) -> Result<(), &'static str> {
-        let must_be_whole = self.is_whole() && self.end == ConnectionEnd::Close;
+        let must_be_complete = self.is_sent_completely() && self.end == ConnectionEnd::Close;
         match received {
-            None if must_be_whole => Err("a whole response was cut off"),
+            None if must_be_complete => Err("a complete response was cut off"),
             None => Ok(()),
             // The proxy may reject a request, and endpoints are ejected.
             Some(message) if message.status() == 503 => Ok(()),
@@ -75,7 +75,7 @@
                 let is_delimited = self.framing != Framing::UntilClose || self.end == ConnectionEnd::Close;
                 if is_delimited { Ok(()) } else { Err("a reset completed a response without a length") }
             }
-            // Nobody can tell such a part from a whole response.
+            // Such a part can't be told from a complete response.
             Some(message) if self.framing == Framing::UntilClose && self.end == ConnectionEnd::Close => {
                 let is_part = self.body.starts_with(&message.body);
                 if is_part { Ok(()) } else { Err("bytes that are not the endpoint's") }
@@ -133,10 +133,10 @@
     }
 }
 
-/// Requests streams one after the other, each on a connection of its own. Returns the number of whole ones.
+/// Requests streams one after the other, each on a connection of its own. Returns the number of complete ones.
 fn run_client(proxy: &RunningProxy, seed: u64) -> usize {
     let mut rng = Rng::with_seed(seed);
-    let mut whole = 0;
+    let mut complete = 0;
     for _ in 0..STREAMS_PER_CLIENT {
         let stream_seed = rng.u64(..);
         let plan = StreamPlan::draw(stream_seed);
@@ -153,19 +153,19 @@
                 plan.response.len()
             );
         }
-        whole += usize::from(received.is_some_and(|message| message.status() == 200));
+        complete += usize::from(received.is_some_and(|message| message.status() == 200));
     }
-    whole
+    complete
 }
 
 /// Guards against a response that is cut off and looks complete, and against a whole one that is cut off.
 #[test]
-fn no_stream_looks_complete_without_its_end_and_no_whole_one_is_cut_off() {
+fn no_stream_looks_complete_without_its_end_and_no_complete_one_is_cut_off() {
     for seed in seeds("SEEDED_STREAMS_SEEDS", 1..4) {
         let endpoints: Vec<SocketAddr> = (0..ENDPOINTS).map(|_| start_endpoint()).collect();
         let (_discovery, _controller, setup) = proxy_setup(&endpoints);
         let proxy = RunningProxy::start(&setup);
-        let whole: usize = std::thread::scope(|scope| {
+        let complete: usize = std::thread::scope(|scope| {
             let clients: Vec<_> = (0..CLIENTS)
                 .map(|client| {
                     scope.spawn({
@@ -176,7 +176,7 @@
                 .collect();
             clients.into_iter().map(|client| client.join().expect("the client's streams are right")).sum()
         });
-        println!("seed {seed}: {whole} of {} streams whole", CLIENTS as usize * STREAMS_PER_CLIENT);
-        assert!(whole > 0, "seed {seed}: no stream was whole");
+        println!("seed {seed}: {complete} of {} streams complete", CLIENTS as usize * STREAMS_PER_CLIENT);
+        assert!(complete > 0, "seed {seed}: no stream was complete");
     }
 }
