The tests of how streams end share their first steps

Need: two tests of upstream/tests/response_ends.rs began with the same lines.

Change: start_stream has them; what the tests assert is as before.

Measured: the tests of response_ends pass, 4 of 4.

--- a/crates/proxy/src/upstream/tests/response_ends.rs
+++ b/crates/proxy/src/upstream/tests/response_ends.rs
@@ -1,5 +1,7 @@
 //! Tests of responses that end with their connection, at a limit or because their memory is needed.
 
+use std::net::TcpStream;
+
 use garnetcrank_policy::api::Outcome;
 use garnetcrank_test_support::scripted_servers::reset_on_close;
 
@@ -65,16 +67,22 @@
     }
 }
 
-/// Guards against a stream that never ends because its endpoint has vanished: looking for unread bytes at the idle limit
-/// counted as progress.
-#[test]
-fn a_stream_without_a_byte_for_the_idle_limit_is_lost() {
+/// Starts an attempt whose streamed response has begun with `body`. Returns it with the endpoint's connection.
+fn start_stream(body: &str) -> (Fixture, TcpStream) {
     let mut fixture = Fixture::new();
     fixture.attempt_streamed(1, NOW);
     let mut endpoint = fixture.accept();
-    write_text(&mut endpoint, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    write_text(&mut endpoint, &format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{body}"));
     fixture.wait_for_bytes();
     fixture.report_ready(NOW);
+    (fixture, endpoint)
+}
+
+/// Guards against a stream that never ends because its endpoint has vanished: looking for unread bytes at the idle limit
+/// counted as progress.
+#[test]
+fn a_stream_without_a_byte_for_the_idle_limit_is_lost() {
+    let (mut fixture, mut endpoint) = start_stream("");
     // The last byte arrives after the attempt's own deadline, which no longer counts.
     let last_byte_at = NOW + 10 * SECOND;
     fixture.upstream.expire_attempts(last_byte_at - 1, &mut fixture.events);
@@ -93,12 +101,7 @@
 /// Guards against a stream that gives way to others and is not reported as cut off.
 #[test]
 fn a_stream_whose_memory_is_needed_is_cut_off() {
-    let mut fixture = Fixture::new();
-    fixture.attempt_streamed(1, NOW);
-    let mut endpoint = fixture.accept();
-    write_text(&mut endpoint, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx");
-    fixture.wait_for_bytes();
-    fixture.report_ready(NOW);
+    let (mut fixture, _endpoint) = start_stream("x");
     fixture.events.clear();
     fixture.upstream.end_largest_exchange(NOW, &mut fixture.events);
     assert_eq!(fixture.cut_off_reason(), Some(CutOffReason::Memory));
