--- a/crates/agent/src/peer_transport/connection.rs
+++ b/crates/agent/src/peer_transport/connection.rs
@@ -1,6 +1,9 @@
 //! Sending on one connection: short messages first, long messages in chunks between them, and heartbeats
 //! while nothing else is to be sent.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use garnetcrank_consensus::chunking::{self, Chunk};
@@ -13,9 +16,6 @@
 use super::{IDLE_TIMEOUT, with_timeout};
 use crate::peer_protocol::{self, Frame, PeerProtocolError};
 
-#[cfg(test)]
-mod tests;
-
 /// Time between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub struct StreamReader {
     reader: ResponseReader,
+    /// Status code, once the head of the response is complete.
     status: Option<u16>,
     max_line_bytes: usize,
     /// Start of the current, incomplete line.
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -146,21 +146,20 @@
         }
     }
 
-    /// Returns why a stream was cut off, if one was.
-    fn cut_off_reason(&self) -> Option<CutOffReason> {
-        self.events.iter().find_map(|event| match event {
-            UpstreamEvent::StreamCutOff { reason, .. } => Some(*reason),
-            _ => None,
-        })
+    /// Takes the first event if it reports that a stream was cut off, and returns why.
+    fn take_cut_off_reason(&mut self) -> Option<CutOffReason> {
+        let Some(UpstreamEvent::StreamCutOff { reason, .. }) = self.events.first() else { return None };
+        let reason = *reason;
+        self.events.remove(0);
+        Some(reason)
     }
 
     fn completed(&mut self) -> Vec<(u32, Outcome)> {
         let outcome_of = |event| match event {
-            UpstreamEvent::AttemptCompleted { id, outcome, .. } => Some((id.0, outcome)),
-            UpstreamEvent::StreamCutOff { .. } => None,
+            UpstreamEvent::AttemptCompleted { id, outcome, .. } => (id.0, outcome),
             other => panic!("{other:?}"),
         };
-        self.events.drain(..).filter_map(outcome_of).collect()
+        self.events.drain(..).map(outcome_of).collect()
     }
 }
 
--- a/crates/proxy/src/upstream/tests/response_ends.rs
+++ b/crates/proxy/src/upstream/tests/response_ends.rs
@@ -89,11 +89,11 @@
     write_text(&mut endpoint, "x");
     fixture.wait_for_bytes();
     fixture.report_ready(last_byte_at);
+    fixture.events.clear();
     for (at, expected) in [(STREAM_IDLE_TIMEOUT - 1, None), (STREAM_IDLE_TIMEOUT, Some(CutOffReason::Idle))] {
-        fixture.events.clear();
         fixture.report_ready(last_byte_at + at);
         fixture.upstream.expire_attempts(last_byte_at + at, &mut fixture.events);
-        assert_eq!(fixture.cut_off_reason(), expected, "{at} us after the last byte");
+        assert_eq!(fixture.take_cut_off_reason(), expected, "{at} us after the last byte");
     }
     assert_eq!(fixture.completed(), [(1, Outcome::ConnectionLost)]);
 }
@@ -104,6 +104,6 @@
     let (mut fixture, _endpoint) = start_stream("x");
     fixture.events.clear();
     fixture.upstream.end_largest_exchange(NOW, &mut fixture.events);
-    assert_eq!(fixture.cut_off_reason(), Some(CutOffReason::Memory));
+    assert_eq!(fixture.take_cut_off_reason(), Some(CutOffReason::Memory));
     assert_eq!(fixture.completed(), [(1, Outcome::ConnectionLost)]);
 }
--- a/crates/proxy/src/watch_stream/open_stream.rs
+++ b/crates/proxy/src/watch_stream/open_stream.rs
@@ -82,6 +82,7 @@
                 return Err(StreamEnd::Status(status));
             }
             let is_complete = read.map_err(|error| ResponseError::new(error, input))?;
+            // A watch has no end of its own, so a complete response has ended early, too.
             if is_complete || input.has_ended() {
                 return Err(ResponseError::new(MessageError::Truncated, input).into());
             }
--- a/crates/proxy/tests/proxy/seeded_streams.rs
+++ b/crates/proxy/tests/proxy/seeded_streams.rs
@@ -158,7 +158,7 @@
     complete
 }
 
-/// Guards against a response that is cut off and looks complete, and against a whole one that is cut off.
+/// Guards against a response that is cut off and looks complete, and against a complete one that is cut off.
 #[test]
 fn no_stream_looks_complete_without_its_end_and_no_complete_one_is_cut_off() {
     for seed in seeds("SEEDED_STREAMS_SEEDS", 1..4) {
